--- /dev/null
+++ b/crates/bench/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/crates/coordination/src/lib.rs
@@ -0,0 +1,8 @@
+//! Decisions of balancers and agents as state machines without sockets, clocks or threads.
+
+pub mod admission;
+pub mod agent;
+pub mod balancer;
+pub mod membership;
+pub mod ownership;
+pub mod termination;
--- /dev/null
+++ b/crates/daemon/src/agent/mod.rs
@@ -0,0 +1,90 @@
+//! The agent role.
+
+mod control;
+mod packet_loop;
+
+use {
+    crate::{
+        control::{Event, run as run_control},
+        runtime::{Shell, watch_store},
+        settings::{AgentSettings, Settings},
+    },
+    cardamomloom_core::{HostId, error::Error},
+    cardamomloom_protocol::object::{DOMAINS_PREFIX, NODES_PREFIX, SERVICES_PREFIX},
+    control::{AgentControl, ControlOptions},
+    log::info,
+    packet_loop::PacketLoopOptions,
+    siphasher::sip::SipHasher13,
+    stakker::{Stakker, actor, fwd_to, ret_shutdown},
+    std::{
+        hash::{Hash, Hasher},
+        net::SocketAddr,
+        sync::atomic::Ordering,
+        time::Instant,
+    },
+};
+
+/// Result of running an agent.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Runs an agent until it was asked to stop and its flows have ended.
+///
+/// # Errors
+///
+/// Fails when a thread cannot be started.
+pub fn run(settings: &Settings, agent: &AgentSettings, shell: Shell) -> Result<()> {
+    let host = agent
+        .host_id
+        .unwrap_or_else(|| host_id(shell.control_address));
+    let loop_options = PacketLoopOptions {
+        host,
+        key: settings.datagram_key(),
+        backend_address: agent.backend_address,
+        return_address: agent.return_address,
+        clock: shell.clock,
+        seed: shell.incarnation.0,
+    };
+    let (packets, commands) = packet_loop::spawn(
+        shell.data_socket,
+        loop_options,
+        shell.event_sender.clone(),
+        shell.stop.clone(),
+    )?;
+    for prefix in [SERVICES_PREFIX, DOMAINS_PREFIX, NODES_PREFIX] {
+        let watch = watch_store(shell.store.clone(), prefix, shell.event_sender.clone());
+        shell.runtime.spawn(watch);
+    }
+    let options = ControlOptions {
+        host,
+        service: agent.service.clone(),
+        domain: settings.domain.clone(),
+        weight: agent.weight,
+        incarnation: shell.incarnation,
+        data_address: shell.data_address,
+        control_address: shell.control_address,
+        seeds: settings.seeds.clone(),
+        clock: shell.clock,
+        sender: shell.control,
+        commands,
+        inspect: shell.inspect,
+    };
+    let mut stakker = Stakker::new(Instant::now());
+    let actor = actor!(stakker, AgentControl::init(options), ret_shutdown!(stakker));
+    let handler = fwd_to!([actor], on_event() as (Event));
+    run_control(&mut stakker, &shell.events, &handler);
+
+    shell.stop.store(true, Ordering::Relaxed);
+    if packets.join().is_err() {
+        log::error!(event = "packet_loop_panicked"; "the packet loop ended with a panic");
+    }
+    info!(event = "agent_stopped", host:%; "agent stopped");
+    Ok(())
+}
+
+/// Derives the identity from the control address, so that a restart on the same address keeps
+/// its place in candidate tables.
+fn host_id(control_address: SocketAddr) -> HostId {
+    let mut hasher = SipHasher13::new();
+    control_address.hash(&mut hasher);
+    HostId(u32::try_from(hasher.finish() >> 32).unwrap_or_default())
+}
--- /dev/null
+++ b/crates/daemon/src/balancer/control.rs
@@ -0,0 +1,169 @@
+//! Control actor of a balancer: catalogue, membership and the routing table.
+
+use {
+    crate::{
+        control::{ControlSender, Event},
+        inspect::DaemonInspect,
+    },
+    arc_swap::ArcSwap,
+    cardamomloom_coordination::membership::{
+        BalancerMembership, BalancerMembershipOptions, Outgoing,
+    },
+    cardamomloom_core::{NodeId, Span},
+    cardamomloom_protocol::store_api::ObjectList,
+    cardamomloom_state::{
+        catalogue::{Applied, Catalogue},
+        routing::RoutingTable,
+    },
+    cardamomloom_transport::clock::MonotonicClock,
+    log::{info, warn},
+    serde_json::json,
+    stakker::{CX, after},
+    std::{sync::Arc, time::Duration},
+};
+
+const TICK: Duration = Duration::from_millis(100);
+
+/// What the control actor works with.
+pub struct ControlOptions {
+    /// Identity of the balancer.
+    pub node: NodeId,
+    /// Clock of the process.
+    pub clock: MonotonicClock,
+    /// Sender of control messages.
+    pub sender: ControlSender,
+    /// Routing table of the packet loop.
+    pub routing: Arc<ArcSwap<RoutingTable>>,
+    /// Readiness and status.
+    pub inspect: Arc<DaemonInspect>,
+    /// Time from the stop request to the end of forwarding.
+    pub linger: Span,
+}
+
+/// Control actor of a balancer.
+pub struct BalancerControl {
+    options: ControlOptions,
+    catalogue: Catalogue,
+    membership: BalancerMembership,
+    services_listed: bool,
+    stopping: bool,
+}
+
+impl BalancerControl {
+    /// Creates the actor and starts its timer.
+    pub fn init(cx: CX![], options: ControlOptions) -> Option<Self> {
+        after!(TICK, [cx], on_tick());
+        let membership =
+            BalancerMembership::new(options.node, BalancerMembershipOptions::default());
+        Some(Self {
+            options,
+            catalogue: Catalogue::default(),
+            membership,
+            services_listed: false,
+            stopping: false,
+        })
+    }
+
+    /// Processes an event.
+    pub fn on_event(&mut self, cx: CX![], event: Event) {
+        match event {
+            Event::Objects(list) => self.on_objects(&list),
+            Event::Datagram { from, message } => {
+                let now = self.options.clock.now();
+                let routing = self.options.routing.load_full();
+                let answers = self.membership.on_message(now, from, message, |entry| {
+                    routing.service(entry.service).map(|table| table.version())
+                });
+                self.send(&answers);
+                self.rebuild_if_changed();
+            }
+            Event::Stop => self.stop(cx),
+            Event::Flows { .. } => {}
+        }
+    }
+
+    fn on_tick(&mut self, cx: CX![]) {
+        after!(TICK, [cx], on_tick());
+        self.membership.on_tick(self.options.clock.now());
+        self.rebuild_if_changed();
+        self.publish_status();
+    }
+
+    fn on_objects(&mut self, list: &ObjectList) {
+        let mut changed = false;
+        for object in &list.objects {
+            match self.catalogue.apply(object) {
+                Ok(Applied::Changed) => {
+                    info!(event = "object_applied", key = object.key, version:% = object.version; "object is in force");
+                    changed = true;
+                }
+                Ok(Applied::Stale | Applied::OtherKind) => {}
+                Err(error) => {
+                    metrics::counter!("cardamomloom_invalid_objects_total").increment(1);
+                    warn!(event = "object_invalid", key = object.key; "{error}");
+                }
+            }
+        }
+        self.services_listed = true;
+        if changed {
+            self.rebuild();
+        }
+        self.update_ready();
+    }
+
+    fn rebuild_if_changed(&mut self) {
+        if self.membership.take_changed() {
+            self.rebuild();
+        }
+    }
+
+    fn rebuild(&mut self) {
+        let present = self.options.routing.load_full();
+        match present.rebuild(&self.catalogue, self.membership.hosts()) {
+            Ok(next) => self.options.routing.store(Arc::new(next)),
+            Err(error) => warn!(event = "routing_rejected"; "{error}"),
+        }
+    }
+
+    fn update_ready(&self) {
+        self.options
+            .inspect
+            .set_ready(self.services_listed && !self.stopping);
+    }
+
+    fn publish_status(&self) {
+        let versions: Vec<_> = self
+            .catalogue
+            .versions()
+            .map(|(key, version)| json!({"key": key, "version": version}))
+            .collect();
+        let hosts: Vec<_> = self.membership.hosts().iter().collect();
+        self.options.inspect.set_status(json!({
+            "role": "balancer",
+            "node": self.options.node.to_string(),
+            "stopping": self.stopping,
+            "objects": versions,
+            "hosts": hosts,
+        }));
+    }
+
+    fn send(&self, messages: &[Outgoing]) {
+        for outgoing in messages {
+            self.options.sender.send(outgoing.to, &outgoing.message);
+        }
+    }
+
+    fn stop(&mut self, cx: CX![]) {
+        if self.stopping {
+            return;
+        }
+        self.stopping = true;
+        self.update_ready();
+        info!(event = "stopping", linger:% = self.options.linger; "balancer stops after its linger time");
+        after!(self.options.linger.to_duration(), [cx], finish());
+    }
+
+    fn finish(&mut self, cx: CX![]) {
+        cx.stop();
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/balancer/mod.rs
@@ -0,0 +1,93 @@
+//! The balancer role.
+
+mod control;
+mod packet_loop;
+
+pub use packet_loop::DropCounters;
+
+use {
+    crate::{
+        control::{Event, run as run_control},
+        runtime::{Registration, Shell, watch_store},
+        settings::{BalancerSettings, Settings},
+    },
+    arc_swap::ArcSwap,
+    cardamomloom_core::{NodeId, Span, error::Error},
+    cardamomloom_protocol::object::{DOMAINS_PREFIX, NodeSpec, SERVICES_PREFIX},
+    cardamomloom_state::routing::RoutingTable,
+    control::{BalancerControl, ControlOptions},
+    log::info,
+    siphasher::sip::SipHasher13,
+    stakker::{Stakker, actor, fwd_to, ret_shutdown},
+    std::{
+        hash::{Hash, Hasher},
+        net::SocketAddr,
+        sync::{Arc, atomic::Ordering},
+        time::Instant,
+    },
+};
+
+/// Result of running a balancer.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Runs a balancer until it was asked to stop and its linger time has passed.
+///
+/// # Errors
+///
+/// Fails when a thread cannot be started.
+pub fn run(settings: &Settings, balancer: &BalancerSettings, shell: Shell) -> Result<()> {
+    let node = node_id(shell.control_address);
+    let routing = Arc::new(ArcSwap::from_pointee(RoutingTable::default()));
+    let packets = packet_loop::spawn(
+        shell.data_socket,
+        routing.clone(),
+        settings.datagram_key(),
+        shell.stop.clone(),
+    )?;
+    for prefix in [SERVICES_PREFIX, DOMAINS_PREFIX] {
+        let watch = watch_store(shell.store.clone(), prefix, shell.event_sender.clone());
+        shell.runtime.spawn(watch);
+    }
+    let spec = NodeSpec {
+        node,
+        domain: settings.domain.clone(),
+        incarnation: shell.incarnation,
+        data_address: shell.data_address,
+        control_address: shell.control_address,
+        http_address: shell.http_address,
+    };
+    let registration = Registration::new(shell.store.clone(), &spec)?;
+    shell.runtime.spawn(registration.clone().register());
+
+    let options = ControlOptions {
+        node,
+        clock: shell.clock,
+        sender: shell.control,
+        routing,
+        inspect: shell.inspect,
+        linger: Span::from_millis(balancer.linger_ms),
+    };
+    let mut stakker = Stakker::new(Instant::now());
+    let actor = actor!(
+        stakker,
+        BalancerControl::init(options),
+        ret_shutdown!(stakker)
+    );
+    let handler = fwd_to!([actor], on_event() as (Event));
+    run_control(&mut stakker, &shell.events, &handler);
+
+    shell.runtime.block_on(registration.deregister());
+    shell.stop.store(true, Ordering::Relaxed);
+    if packets.join().is_err() {
+        log::error!(event = "packet_loop_panicked"; "the packet loop ended with a panic");
+    }
+    info!(event = "balancer_stopped", node:%; "balancer stopped");
+    Ok(())
+}
+
+/// Derives the identity from the control address, so that a restart on the same address keeps it.
+fn node_id(control_address: SocketAddr) -> NodeId {
+    let mut hasher = SipHasher13::new();
+    control_address.hash(&mut hasher);
+    NodeId(hasher.finish())
+}
--- /dev/null
+++ b/crates/daemon/src/balancer/packet_loop.rs
@@ -0,0 +1,122 @@
+//! Packet loop of a balancer: receive a batch, route it, send it.
+
+use {
+    arc_swap::ArcSwap,
+    cardamomloom_coordination::balancer::{Route, route},
+    cardamomloom_core::error::{Error, io},
+    cardamomloom_protocol::{forward::DatagramKey, packet::DropCause},
+    cardamomloom_state::routing::RoutingTable,
+    cardamomloom_transport::udp::{self, BATCH, Outgoing, ReceiveBatch, SendBatch, Wait},
+    log::warn,
+    metrics::Counter,
+    std::{
+        net::{Ipv4Addr, SocketAddr, UdpSocket},
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
+        thread,
+        time::Duration,
+    },
+};
+
+/// Result of starting the packet loop.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Longest wait for a packet, after which the loop looks at its stop flag.
+const RECEIVE_TIMEOUT: Duration = Duration::from_millis(50);
+
+/// Counters of dropped packets by cause.
+pub struct DropCounters(Vec<Counter>);
+
+impl Default for DropCounters {
+    fn default() -> Self {
+        let counter = |cause: DropCause| metrics::counter!("cardamomloom_dropped_packets_total", "cause" => cause.label());
+        Self(DropCause::ALL.into_iter().map(counter).collect())
+    }
+}
+
+impl DropCounters {
+    /// Counts dropped packets.
+    pub fn add(&self, cause: DropCause, count: u64) {
+        if let Some(counter) = self.0.get(cause as usize) {
+            counter.increment(count);
+        }
+    }
+}
+
+/// Starts the packet loop.
+///
+/// # Errors
+///
+/// Fails with kind `io` when the socket or the thread cannot be set up.
+pub fn spawn(
+    socket: UdpSocket,
+    routing: Arc<ArcSwap<RoutingTable>>,
+    key: DatagramKey,
+    stop: Arc<AtomicBool>,
+) -> Result<thread::JoinHandle<()>> {
+    udp::set_receive_timeout(&socket, RECEIVE_TIMEOUT)?;
+    thread::Builder::new()
+        .name("packets".to_owned())
+        .spawn(move || forward_packets(&socket, &routing, key, &stop))
+        .map_err(|error| io(format!("packet loop: cannot start a thread: {error}")))
+}
+
+fn forward_packets(
+    socket: &UdpSocket,
+    routing: &ArcSwap<RoutingTable>,
+    key: DatagramKey,
+    stop: &AtomicBool,
+) {
+    let forwarded = metrics::counter!("cardamomloom_forwarded_packets_total");
+    let drops = DropCounters::default();
+    let mut received = ReceiveBatch::default();
+    let mut sender = SendBatch::default();
+    loop {
+        match received.receive(socket, Wait::ForOne) {
+            // The socket is drained before the loop ends, so that no packet that the fabric
+            // already handed over is lost.
+            Ok(0) if stop.load(Ordering::Relaxed) => return,
+            Ok(0) => continue,
+            Ok(_) => {}
+            Err(error) => {
+                warn!(event = "receive_failed"; "{error}");
+                continue;
+            }
+        }
+        let table = routing.load();
+        let mut routes: [Option<Route<'_>>; BATCH] = [const { None }; BATCH];
+        let mut count = 0;
+        for (datagram, _) in received.datagrams() {
+            match route(&table, key, datagram) {
+                Ok(route) => {
+                    routes[count] = Some(route);
+                    count += 1;
+                }
+                Err(cause) => drops.add(cause, 1),
+            }
+        }
+        let outgoing: [Outgoing<'_>; BATCH] =
+            std::array::from_fn(|index| to_outgoing(routes[index].as_ref()));
+        let sent = sender.send(socket, &outgoing[..count]);
+        forwarded.increment(sent as u64);
+        drops.add(DropCause::SendFailed, (count - sent) as u64);
+    }
+}
+
+fn to_outgoing<'a>(route: Option<&'a Route<'a>>) -> Outgoing<'a> {
+    match route {
+        Some(route) => Outgoing {
+            to: route.to,
+            prefix: &route.header,
+            body: route.packet,
+        },
+        // Positions after the last route are not sent.
+        None => Outgoing {
+            to: SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0)),
+            prefix: &[],
+            body: &[],
+        },
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/control/mod.rs
@@ -0,0 +1,135 @@
+//! The control thread: runs `stakker` actors on events from sockets and the store.
+
+use {
+    cardamomloom_core::error::{Error, io},
+    cardamomloom_protocol::{
+        control::{self, Message},
+        forward::DatagramKey,
+        store_api::ObjectList,
+    },
+    cardamomloom_transport::udp::{self, ReceiveBatch, Wait},
+    log::{debug, warn},
+    stakker::{Fwd, Stakker},
+    std::{
+        net::{SocketAddr, UdpSocket},
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+            mpsc::{Receiver, RecvTimeoutError, SyncSender},
+        },
+        thread,
+        time::{Duration, Instant},
+    },
+};
+
+/// Result of starting control threads.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Events that may wait for the control thread; later ones are dropped and repeated by peers.
+pub const EVENT_QUEUE: usize = 4_096;
+
+/// Longest wait of the control thread, so that it sees a pause of the process.
+const MAX_WAIT: Duration = Duration::from_millis(100);
+
+const RECEIVE_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// An event for the control thread.
+#[derive(Debug)]
+pub enum Event {
+    /// The store answered a list or a watch.
+    Objects(ObjectList),
+    /// A control datagram arrived.
+    Datagram {
+        /// Its sender.
+        from: SocketAddr,
+        /// Its message.
+        message: Message,
+    },
+    /// The packet loop reports its state.
+    Flows {
+        /// Open flows.
+        open: usize,
+    },
+    /// The process is asked to stop.
+    Stop,
+}
+
+/// Runs `stakker` until an actor shuts it down; each event goes to `handler`.
+pub fn run(stakker: &mut Stakker, events: &Receiver<Event>, handler: &Fwd<Event>) {
+    while stakker.not_shutdown() {
+        let now = Instant::now();
+        stakker.run(now, false);
+        let wait = stakker.next_wait_max(now, MAX_WAIT, false);
+        match events.recv_timeout(wait) {
+            Ok(event) => handler.fwd(event),
+            Err(RecvTimeoutError::Timeout) => {}
+            Err(RecvTimeoutError::Disconnected) => break,
+        }
+    }
+}
+
+/// Sends control messages from the control thread.
+#[derive(Clone, Debug)]
+pub struct ControlSender {
+    socket: Arc<UdpSocket>,
+    key: DatagramKey,
+}
+
+impl ControlSender {
+    /// Creates a sender on the control socket.
+    #[must_use]
+    pub const fn new(socket: Arc<UdpSocket>, key: DatagramKey) -> Self {
+        Self { socket, key }
+    }
+
+    /// Sends a message; a lost one is repeated by its protocol.
+    pub fn send(&self, to: SocketAddr, message: &Message) {
+        match control::encode(self.key, message) {
+            Ok(datagram) => {
+                if let Err(error) = self.socket.send_to(&datagram, to) {
+                    debug!(event = "control_send_failed", to:%; "control message not sent: {error}");
+                }
+            }
+            Err(error) => warn!(event = "control_encode_failed"; "{error}"),
+        }
+    }
+}
+
+/// Starts the thread that receives control datagrams.
+///
+/// # Errors
+///
+/// Fails with kind `io` when the socket or the thread cannot be set up.
+pub fn spawn_receiver(
+    socket: Arc<UdpSocket>,
+    key: DatagramKey,
+    events: SyncSender<Event>,
+    stop: Arc<AtomicBool>,
+) -> Result<thread::JoinHandle<()>> {
+    udp::set_receive_timeout(&socket, RECEIVE_TIMEOUT)?;
+    thread::Builder::new()
+        .name("control-receive".to_owned())
+        .spawn(move || receive(&socket, key, &events, &stop))
+        .map_err(|error| io(format!("control: cannot start a thread: {error}")))
+}
+
+fn receive(socket: &UdpSocket, key: DatagramKey, events: &SyncSender<Event>, stop: &AtomicBool) {
+    let rejected = metrics::counter!("cardamomloom_control_rejected_total");
+    let overflow = metrics::counter!("cardamomloom_control_overflow_total");
+    let mut batch = ReceiveBatch::default();
+    while !stop.load(Ordering::Relaxed) {
+        if let Err(error) = batch.receive(socket, Wait::ForOne) {
+            warn!(event = "control_receive_failed"; "{error}");
+        }
+        for (datagram, source) in batch.datagrams() {
+            let Some(from) = source else { continue };
+            let Ok(message) = control::decode(key, datagram) else {
+                rejected.increment(1);
+                continue;
+            };
+            if events.try_send(Event::Datagram { from, message }).is_err() {
+                overflow.increment(1);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/inspect/mod.rs
@@ -0,0 +1,56 @@
+//! State that a daemon shows on its operator endpoints.
+
+use {
+    cardamomloom_transport::http::Inspect,
+    metrics_exporter_prometheus::PrometheusHandle,
+    std::sync::{
+        Mutex, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
+};
+
+/// Readiness, metrics and status of a daemon.
+pub struct DaemonInspect {
+    ready: AtomicBool,
+    status: Mutex<serde_json::Value>,
+    metrics: PrometheusHandle,
+}
+
+impl DaemonInspect {
+    /// Creates the state of a process that is not ready.
+    #[must_use]
+    pub const fn new(metrics: PrometheusHandle) -> Self {
+        Self {
+            ready: AtomicBool::new(false),
+            status: Mutex::new(serde_json::Value::Null),
+            metrics,
+        }
+    }
+
+    /// Sets whether the process takes traffic.
+    pub fn set_ready(&self, ready: bool) {
+        self.ready.store(ready, Ordering::Relaxed);
+    }
+
+    /// Sets what `/status` answers.
+    pub fn set_status(&self, status: serde_json::Value) {
+        *self.status.lock().unwrap_or_else(PoisonError::into_inner) = status;
+    }
+}
+
+impl Inspect for DaemonInspect {
+    fn is_ready(&self) -> bool {
+        self.ready.load(Ordering::Relaxed)
+    }
+
+    fn metrics(&self) -> String {
+        self.metrics.render()
+    }
+
+    fn status(&self) -> serde_json::Value {
+        self.status
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,9 @@
+//! The daemon `cardamomloomd`: balancer or agent, by its settings.
+
+pub mod agent;
+pub mod balancer;
+pub mod control;
+pub mod inspect;
+pub mod logging;
+pub mod runtime;
+pub mod settings;
--- /dev/null
+++ b/crates/daemon/src/runtime/mod.rs
@@ -0,0 +1,182 @@
+//! Starts a daemon: sockets, threads, store watch and operator endpoints.
+
+mod registration;
+mod store_watch;
+
+pub use {registration::Registration, store_watch::watch_store};
+
+use {
+    crate::{
+        agent, balancer,
+        control::{self, ControlSender, Event},
+        inspect::DaemonInspect,
+        settings::{Role, Settings},
+    },
+    cardamomloom_core::{
+        Incarnation,
+        error::{Error, ErrorKind, io},
+    },
+    cardamomloom_transport::{
+        clock::MonotonicClock,
+        http,
+        store::{StoreClient, StoreOptions},
+        udp,
+    },
+    log::info,
+    metrics_exporter_prometheus::PrometheusBuilder,
+    signal_hook::{
+        consts::{SIGINT, SIGTERM},
+        iterator::Signals,
+    },
+    std::{
+        net::{SocketAddr, UdpSocket},
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+            mpsc::{Receiver, SyncSender, sync_channel},
+        },
+        thread,
+        time::{SystemTime, UNIX_EPOCH},
+    },
+    tokio::runtime::Runtime,
+};
+
+/// Result of running a daemon.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// What every role needs to run.
+pub struct Shell {
+    /// Clock of the process.
+    pub clock: MonotonicClock,
+    /// Packet socket.
+    pub data_socket: UdpSocket,
+    /// Bound address of the packet socket.
+    pub data_address: SocketAddr,
+    /// Bound address of the control socket.
+    pub control_address: SocketAddr,
+    /// Bound address of the operator endpoints.
+    pub http_address: SocketAddr,
+    /// Sender on the control socket.
+    pub control: ControlSender,
+    /// Events for the control thread.
+    pub events: Receiver<Event>,
+    /// Sender of events for the control thread.
+    pub event_sender: SyncSender<Event>,
+    /// Readiness and status.
+    pub inspect: Arc<DaemonInspect>,
+    /// Client of the store.
+    pub store: StoreClient,
+    /// Runtime of the store client and the endpoints.
+    pub runtime: Runtime,
+    /// Set when the threads are to end.
+    pub stop: Arc<AtomicBool>,
+    /// Life of this process.
+    pub incarnation: Incarnation,
+}
+
+/// Runs a daemon until it is asked to stop.
+///
+/// # Errors
+///
+/// Fails with kind `io` when a socket or thread cannot be set up.
+pub fn run(settings: &Settings) -> Result<()> {
+    let shell = Shell::start(settings)?;
+    let stop = shell.stop.clone();
+    let outcome = match &settings.role {
+        Role::Balancer(balancer) => balancer::run(settings, balancer, shell),
+        Role::Agent(agent) => agent::run(settings, agent, shell),
+    };
+    stop.store(true, Ordering::Relaxed);
+    info!(event = "stopped"; "process stopped");
+    outcome
+}
+
+impl Shell {
+    fn start(settings: &Settings) -> Result<Self> {
+        let metrics = PrometheusBuilder::new()
+            .install_recorder()
+            .map_err(|error| io(format!("metrics: {error}")))?;
+        let inspect = Arc::new(DaemonInspect::new(metrics));
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(1)
+            .enable_all()
+            .thread_name("runtime")
+            .build()
+            .map_err(|error| io(format!("runtime: {error}")))?;
+        let data_socket = udp::bind(settings.data_address)?;
+        let control_socket = Arc::new(udp::bind(settings.control_address)?);
+        let listener = runtime.block_on(http::bind(settings.http_address))?;
+        let address_error = |error| io(format!("runtime: a socket has no address: {error}"));
+        let http_address = listener.local_addr().map_err(address_error)?;
+        let data_address = data_socket.local_addr().map_err(address_error)?;
+        let control_address = control_socket.local_addr().map_err(address_error)?;
+        let (event_sender, events) = sync_channel(control::EVENT_QUEUE);
+        let stop = Arc::new(AtomicBool::new(false));
+        control::spawn_receiver(
+            control_socket.clone(),
+            settings.datagram_key(),
+            event_sender.clone(),
+            stop.clone(),
+        )?;
+        spawn_signal_thread(event_sender.clone())?;
+        runtime.spawn(http::serve(
+            listener,
+            inspect.clone(),
+            std::future::pending(),
+        ));
+        let store = StoreClient::new(&settings.store_url, StoreOptions::default())?;
+        info!(
+            event = "bound",
+            data_address:%,
+            control_address:%,
+            http_address:%;
+            "sockets are bound"
+        );
+        Ok(Self {
+            clock: MonotonicClock::start(),
+            data_socket,
+            data_address,
+            control_address,
+            http_address,
+            control: ControlSender::new(control_socket, settings.datagram_key()),
+            events,
+            event_sender,
+            inspect,
+            store,
+            runtime,
+            stop,
+            incarnation: incarnation_now()?,
+        })
+    }
+}
+
+/// Turns the first SIGTERM or SIGINT into a stop event.
+fn spawn_signal_thread(events: SyncSender<Event>) -> Result<()> {
+    let mut signals = Signals::new([SIGTERM, SIGINT])
+        .map_err(|error| io(format!("runtime: cannot handle signals: {error}")))?;
+    thread::Builder::new()
+        .name("signals".to_owned())
+        .spawn(move || {
+            if signals.forever().next().is_some() {
+                // The control thread is gone only when the process already stops.
+                let _ = events.send(Event::Stop);
+            }
+        })
+        .map_err(|error| io(format!("runtime: cannot start a thread: {error}")))?;
+    Ok(())
+}
+
+/// Returns an incarnation above those of earlier lives on the same address.
+fn incarnation_now() -> Result<Incarnation> {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .ok()
+        .and_then(|elapsed| u64::try_from(elapsed.as_micros()).ok())
+        .map(Incarnation)
+        .ok_or_else(|| {
+            Error::new(
+                ErrorKind::Io,
+                "runtime: the system clock is before 1970; incarnations need it",
+            )
+        })
+}
--- /dev/null
+++ b/crates/daemon/src/settings/mod.rs
@@ -0,0 +1,183 @@
+//! Settings of the daemon: JSON with comments, checked as a whole before anything starts.
+
+use {
+    cardamomloom_core::{
+        DomainName, HostId, ServiceName, Weight,
+        error::{Error, invalid_argument, io},
+    },
+    cardamomloom_protocol::forward::DatagramKey,
+    jsonc_parser::{ParseOptions, parse_to_serde_value},
+    serde::Deserialize,
+    std::{fs, net::SocketAddr, path::Path, sync::Arc},
+};
+
+/// Result of reading settings.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Settings of one process.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Failure domain of the process.
+    pub domain: DomainName,
+    /// Address of the packet socket; port 0 lets the system choose.
+    pub data_address: SocketAddr,
+    /// Address of the control socket.
+    pub control_address: SocketAddr,
+    /// Address of the operator endpoints.
+    pub http_address: SocketAddr,
+    /// Base URL of the platform's object API.
+    pub store_url: Arc<str>,
+    /// Control sockets of balancers, for a start while the store is down.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// Key of the datagrams between processes, 32 hexadecimal digits.
+    pub datagram_key: Arc<str>,
+    /// Lowest level that is logged.
+    #[serde(default)]
+    pub log_level: LogLevel,
+    /// What the process does.
+    pub role: Role,
+}
+
+/// What the process does.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "lowercase", deny_unknown_fields)]
+pub enum Role {
+    /// Entry instance.
+    Balancer(BalancerSettings),
+    /// Process beside a backend server.
+    Agent(AgentSettings),
+}
+
+/// Settings of a balancer.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct BalancerSettings {
+    /// Time for which a stopping balancer still forwards, so that the fabric can turn away.
+    #[serde(default = "default_linger_ms")]
+    pub linger_ms: u64,
+}
+
+/// Settings of an agent.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct AgentSettings {
+    /// Service of the backend server.
+    pub service: ServiceName,
+    /// Address of the backend server.
+    pub backend_address: SocketAddr,
+    /// Socket that takes encapsulated packets to callers.
+    pub return_address: SocketAddr,
+    /// Share in placement, in parts per 1,000 of a standard host.
+    #[serde(default = "default_weight")]
+    pub weight: Weight,
+    /// Identity of the host; derived from the control address when absent.
+    #[serde(default)]
+    pub host_id: Option<HostId>,
+}
+
+/// Lowest level that is logged.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum LogLevel {
+    /// Failures that need an operator.
+    Error,
+    /// Failures that the system handles.
+    Warn,
+    /// Changes of state.
+    #[default]
+    Info,
+    /// Single decisions.
+    Debug,
+}
+
+const KEY_DIGITS: usize = 32;
+const MAX_LINGER_MS: u64 = 60_000;
+const MAX_WEIGHT: u32 = 100_000;
+const MAX_SEEDS: usize = 16;
+
+const fn default_linger_ms() -> u64 {
+    1_000
+}
+
+const fn default_weight() -> Weight {
+    Weight::STANDARD
+}
+
+/// Reads and checks a settings file.
+///
+/// # Errors
+///
+/// Fails with kind `io` when the file cannot be read, and with `invalid_argument` when a field
+/// is missing, unknown or out of range.
+pub fn load(path: &Path) -> Result<Settings> {
+    let text = fs::read_to_string(path)
+        .map_err(|error| io(format!("settings: cannot read {}: {error}", path.display())))?;
+    parse(&text)
+}
+
+/// Parses and checks settings.
+///
+/// # Errors
+///
+/// Fails with kind `invalid_argument`; the message names field, value and allowed range.
+pub fn parse(text: &str) -> Result<Settings> {
+    let value: serde_json::Value = parse_to_serde_value(text, &ParseOptions::default())
+        .map_err(|error| invalid_argument(format!("settings: {error}")))?;
+    let settings: Settings = serde_path_to_error::deserialize(value).map_err(|error| {
+        invalid_argument(format!(
+            "settings: field \"{}\": {}",
+            error.path(),
+            error.inner()
+        ))
+    })?;
+    settings.check()?;
+    Ok(settings)
+}
+
+impl Settings {
+    /// Returns the key of datagrams between processes.
+    #[must_use]
+    pub fn datagram_key(&self) -> DatagramKey {
+        let key = u128::from_str_radix(&self.datagram_key, 16).unwrap_or_default();
+        DatagramKey(key.to_be_bytes())
+    }
+
+    fn check(&self) -> Result<()> {
+        let key = &self.datagram_key;
+        if key.len() != KEY_DIGITS || !key.bytes().all(|b| b.is_ascii_hexdigit()) {
+            return Err(invalid_argument(format!(
+                "settings: field \"datagram_key\" has {} characters; allowed are {KEY_DIGITS} hexadecimal digits",
+                key.len()
+            )));
+        }
+        if !self.store_url.starts_with("http://") {
+            return Err(invalid_argument(format!(
+                "settings: field \"store_url\" is {:?}; allowed is a URL that starts with http://",
+                self.store_url
+            )));
+        }
+        if self.seeds.len() > MAX_SEEDS {
+            return Err(invalid_argument(format!(
+                "settings: field \"seeds\" has {} entries; allowed are 0 to {MAX_SEEDS}",
+                self.seeds.len()
+            )));
+        }
+        match &self.role {
+            Role::Balancer(balancer) if balancer.linger_ms > MAX_LINGER_MS => {
+                Err(invalid_argument(format!(
+                    "settings: field \"role.balancer.linger_ms\" is {}; allowed is 0 to {MAX_LINGER_MS}",
+                    balancer.linger_ms
+                )))
+            }
+            Role::Agent(agent) if !(1..=MAX_WEIGHT).contains(&agent.weight.0) => {
+                Err(invalid_argument(format!(
+                    "settings: field \"role.agent.weight\" is {}; allowed is 1 to {MAX_WEIGHT}",
+                    agent.weight
+                )))
+            }
+            _ => Ok(()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/protocol/src/control/mod.rs
@@ -0,0 +1,165 @@
+//! Control datagrams between the processes of one installation.
+//!
+//! A datagram is the postcard encoding of a [`Message`] followed by an 8-byte SipHash-2-4 tag.
+
+use {
+    crate::{forward::DatagramKey, packet::FlowKey},
+    cardamomloom_core::{
+        BucketId, DomainName, HostId, Incarnation, NodeId, ServiceId, TableVersion, Weight,
+        error::{Error, ErrorKind, malformed},
+    },
+    serde::{Deserialize, Serialize},
+    siphasher::sip::SipHasher24,
+    std::{hash::Hasher, net::SocketAddr},
+};
+
+/// Result of decoding a control datagram.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Largest control datagram in bytes, so that it fits an Ethernet frame with its headers.
+pub const MAX_DATAGRAM_BYTES: usize = 1_400;
+
+const TAG_BYTES: usize = 8;
+
+/// State of a host, in the order in which one incarnation passes through them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum HostState {
+    /// The agent runs and its backend server does not accept connections yet.
+    Starting,
+    /// The host takes new flows.
+    Ready,
+    /// The host keeps its flows and takes no new ones.
+    Draining,
+    /// The host left or was found dead.
+    Gone,
+}
+
+/// What the system knows of one host.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct HostEntry {
+    /// Identity of the host.
+    pub host: HostId,
+    /// Service that the host answers for.
+    pub service: ServiceId,
+    /// Failure domain of the host.
+    pub domain: DomainName,
+    /// Address of the agent's packet socket.
+    pub data_address: SocketAddr,
+    /// Address of the agent's control socket.
+    pub control_address: SocketAddr,
+    /// Life of the agent.
+    pub incarnation: Incarnation,
+    /// State of the host.
+    pub state: HostState,
+    /// Share in placement.
+    pub weight: Weight,
+}
+
+impl HostEntry {
+    /// Tells whether this entry replaces `other` of the same host.
+    #[must_use]
+    pub fn supersedes(&self, other: &Self) -> bool {
+        (self.incarnation, self.state) > (other.incarnation, other.state)
+    }
+}
+
+/// Message of a control datagram.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Message {
+    /// An agent tells a balancer that its host exists and is alive.
+    Announce {
+        /// The host.
+        entry: HostEntry,
+        /// Table of the service at the agent.
+        table: TableVersion,
+    },
+    /// A process tells another what it knows of hosts.
+    Hosts {
+        /// The sender, for log lines.
+        from: NodeId,
+        /// Host entries, newest known state.
+        entries: Vec<HostEntry>,
+    },
+    /// An agent tells the first candidate of a bucket which open flows it owns there.
+    Handover {
+        /// The owner.
+        from: HostId,
+        /// Life of the owner.
+        incarnation: Incarnation,
+        /// Service of both agents.
+        service: ServiceId,
+        /// Table for which the flows were selected.
+        table: TableVersion,
+        /// Position of this message within the complete list, counted from 0.
+        part: u32,
+        /// Number of messages in the complete list.
+        parts: u32,
+        /// Open flows of the owner, with their buckets.
+        flows: Vec<(BucketId, FlowKey)>,
+    },
+    /// A first candidate confirms a part of a handover.
+    HandoverConfirm {
+        /// The receiver of the handover.
+        from: HostId,
+        /// Table of the confirmed part.
+        table: TableVersion,
+        /// The confirmed part.
+        part: u32,
+    },
+}
+
+/// Returns the datagram for a message.
+///
+/// # Errors
+///
+/// Fails with kind `limit_exceeded` when the datagram is larger than [`MAX_DATAGRAM_BYTES`].
+pub fn encode(key: DatagramKey, message: &Message) -> Result<Vec<u8>> {
+    let mut datagram = postcard::to_stdvec(message)
+        .map_err(|error| malformed(format!("control: message cannot be encoded: {error}")))?;
+    if datagram.len() + TAG_BYTES > MAX_DATAGRAM_BYTES {
+        return Err(Error::new(
+            ErrorKind::LimitExceeded,
+            format!(
+                "control: message of {} bytes is larger than the limit of {MAX_DATAGRAM_BYTES} bytes",
+                datagram.len() + TAG_BYTES
+            ),
+        ));
+    }
+    let tag = tag(key, &datagram);
+    datagram.extend_from_slice(&tag);
+    Ok(datagram)
+}
+
+/// Returns the message of a datagram.
+///
+/// # Errors
+///
+/// Fails with kind `unauthorized` when the tag does not match, and with `malformed` when the
+/// datagram is short, too long or cannot be decoded.
+pub fn decode(key: DatagramKey, datagram: &[u8]) -> Result<Message> {
+    if datagram.len() > MAX_DATAGRAM_BYTES {
+        return Err(malformed("control: datagram is larger than the limit"));
+    }
+    let Some((body, received_tag)) = datagram.split_last_chunk::<TAG_BYTES>() else {
+        return Err(malformed("control: datagram is shorter than its tag"));
+    };
+    if *received_tag != tag(key, body) {
+        return Err(Error::new(
+            ErrorKind::Unauthorized,
+            "control: authentication tag does not match",
+        ));
+    }
+    let (message, rest) = postcard::take_from_bytes(body)
+        .map_err(|error| malformed(format!("control: datagram cannot be decoded: {error}")))?;
+    if rest.is_empty() {
+        Ok(message)
+    } else {
+        Err(malformed("control: datagram has trailing bytes"))
+    }
+}
+
+fn tag(key: DatagramKey, body: &[u8]) -> [u8; TAG_BYTES] {
+    let mut hasher = SipHasher24::new_with_key(&key.0);
+    hasher.write(body);
+    hasher.finish().to_be_bytes()
+}
--- /dev/null
+++ b/crates/protocol/src/forward/mod.rs
@@ -0,0 +1,186 @@
+//! Header between a balancer and an agent, or two agents, in front of the caller's IP packet.
+//!
+//! Layout, 48 bytes, big endian:
+//!
+//! | offset | bytes | field |
+//! |---|---|---|
+//! | 0 | 2 | magic `0xca4d` |
+//! | 2 | 1 | version 1 |
+//! | 3 | 1 | hop count |
+//! | 4 | 4 | service id |
+//! | 8 | 8 | table version of the sender |
+//! | 16 | 4 | bucket |
+//! | 20 | 1 | number of visited hosts, 0 to 4 |
+//! | 21 | 3 | zero |
+//! | 24 | 16 | ids of the visited hosts, 4 bytes each |
+//! | 40 | 8 | tag: keyed SipHash-2-4 over bytes 0 to 39 and the first 40 bytes of the packet |
+
+use {
+    cardamomloom_core::{
+        BucketId, HostId, ServiceId, TableVersion,
+        error::{Error, malformed},
+    },
+    siphasher::sip::SipHasher24,
+    std::hash::Hasher,
+};
+
+/// Result of decoding a forward header.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Bytes of the header.
+pub const HEADER_BYTES: usize = 48;
+
+/// Hosts that a packet can visit, equal to the candidates of a bucket.
+pub const MAX_VISITED: usize = 4;
+
+const MAGIC: u16 = 0xca4d;
+const VERSION: u8 = 1;
+const TAG_OFFSET: usize = 40;
+const TAGGED_PACKET_BYTES: usize = 40;
+
+/// Key that authenticates datagrams between the processes of one installation.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub struct DatagramKey(pub [u8; 16]);
+
+impl std::fmt::Debug for DatagramKey {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("DatagramKey(..)")
+    }
+}
+
+/// The hosts that a packet was handed to, in order.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Visited {
+    hosts: [HostId; MAX_VISITED],
+    count: u8,
+}
+
+impl Visited {
+    /// Tells whether the packet was handed to `host`.
+    #[must_use]
+    pub fn contains(&self, host: HostId) -> bool {
+        self.as_slice().contains(&host)
+    }
+
+    /// Adds a host; returns false when the list is full.
+    pub fn push(&mut self, host: HostId) -> bool {
+        let Some(slot) = self.hosts.get_mut(usize::from(self.count)) else {
+            return false;
+        };
+        *slot = host;
+        self.count += 1;
+        true
+    }
+
+    /// Returns the visited hosts.
+    #[must_use]
+    pub fn as_slice(&self) -> &[HostId] {
+        &self.hosts[..usize::from(self.count)]
+    }
+}
+
+/// Decoded forward header.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ForwardHeader {
+    /// Service that the sender mapped the packet to.
+    pub service: ServiceId,
+    /// Table that the sender used.
+    pub table: TableVersion,
+    /// Bucket of the flow in that table.
+    pub bucket: BucketId,
+    /// Number of agents that passed the packet on.
+    pub hops: u8,
+    /// Hosts that the packet was handed to, the receiver included.
+    pub visited: Visited,
+}
+
+impl ForwardHeader {
+    /// Writes the header in front of `packet` into `out` and returns the bytes written.
+    ///
+    /// Returns `None` when `out` is too small.
+    #[must_use]
+    pub fn encode_into(&self, key: DatagramKey, packet: &[u8], out: &mut [u8]) -> Option<usize> {
+        let total_bytes = HEADER_BYTES + packet.len();
+        let out = out.get_mut(..total_bytes)?;
+        let header = self.encode(key, packet);
+        out[..HEADER_BYTES].copy_from_slice(&header);
+        out[HEADER_BYTES..].copy_from_slice(packet);
+        Some(total_bytes)
+    }
+
+    /// Returns the encoded header for `packet`.
+    #[must_use]
+    pub fn encode(&self, key: DatagramKey, packet: &[u8]) -> [u8; HEADER_BYTES] {
+        let mut header = [0; HEADER_BYTES];
+        header[0..2].copy_from_slice(&MAGIC.to_be_bytes());
+        header[2] = VERSION;
+        header[3] = self.hops;
+        header[4..8].copy_from_slice(&self.service.0.to_be_bytes());
+        header[8..16].copy_from_slice(&self.table.0.to_be_bytes());
+        header[16..20].copy_from_slice(&self.bucket.0.to_be_bytes());
+        header[20] = self.visited.count;
+        for (slot, host) in header[24..TAG_OFFSET]
+            .chunks_exact_mut(4)
+            .zip(self.visited.hosts)
+        {
+            slot.copy_from_slice(&host.0.to_be_bytes());
+        }
+        let tag = tag(key, &header[..TAG_OFFSET], packet);
+        header[TAG_OFFSET..].copy_from_slice(&tag.to_be_bytes());
+        header
+    }
+
+    /// Splits a datagram into the header and the IP packet.
+    ///
+    /// # Errors
+    ///
+    /// Fails with kind `malformed` when the datagram is short, has another magic or version,
+    /// names too many visited hosts, or has a wrong tag.
+    pub fn decode(key: DatagramKey, datagram: &[u8]) -> Result<(Self, &[u8])> {
+        let Some((header, packet)) = datagram.split_first_chunk::<HEADER_BYTES>() else {
+            return Err(malformed("forward: datagram is shorter than the header"));
+        };
+        if header[0..2] != MAGIC.to_be_bytes() || header[2] != VERSION {
+            return Err(malformed("forward: unknown magic or version"));
+        }
+        let count = header[20];
+        if usize::from(count) > MAX_VISITED {
+            return Err(malformed("forward: too many visited hosts"));
+        }
+        let expected = tag(key, &header[..TAG_OFFSET], packet);
+        if header[TAG_OFFSET..] != expected.to_be_bytes() {
+            return Err(malformed("forward: authentication tag does not match"));
+        }
+        let mut hosts = [HostId::default(); MAX_VISITED];
+        for (host, slot) in hosts.iter_mut().zip(header[24..TAG_OFFSET].chunks_exact(4)) {
+            *host = HostId(be_u32(slot));
+        }
+        let decoded = Self {
+            service: ServiceId(be_u32(&header[4..8])),
+            table: TableVersion(be_u64(&header[8..16])),
+            bucket: BucketId(be_u32(&header[16..20])),
+            hops: header[3],
+            visited: Visited { hosts, count },
+        };
+        Ok((decoded, packet))
+    }
+}
+
+fn be_u32(bytes: &[u8]) -> u32 {
+    bytes
+        .iter()
+        .fold(0, |acc, byte| acc << 8 | u32::from(*byte))
+}
+
+fn be_u64(bytes: &[u8]) -> u64 {
+    bytes
+        .iter()
+        .fold(0, |acc, byte| acc << 8 | u64::from(*byte))
+}
+
+fn tag(key: DatagramKey, header: &[u8], packet: &[u8]) -> u64 {
+    let mut hasher = SipHasher24::new_with_key(&key.0);
+    hasher.write(header);
+    hasher.write(&packet[..packet.len().min(TAGGED_PACKET_BYTES)]);
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/protocol/src/lib.rs
@@ -0,0 +1,8 @@
+//! Wire formats and object schemas; this crate does no I/O and takes no decisions.
+
+pub mod control;
+pub mod forward;
+pub mod gue;
+pub mod object;
+pub mod packet;
+pub mod store_api;
--- /dev/null
+++ b/crates/protocol/src/object/mod.rs
@@ -0,0 +1,58 @@
+//! Schema of the objects that cardamomloom keeps in the platform's store.
+
+mod domain;
+mod node;
+mod service;
+
+pub use {
+    domain::{DomainSpec, DomainState},
+    node::{NodeRole, NodeSpec},
+    service::{ServiceClass, ServiceSpec},
+};
+
+use {
+    cardamomloom_core::error::{Error, invalid_argument},
+    serde::de::DeserializeOwned,
+};
+
+/// Result of checking an object.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Prefix of the keys of services.
+pub const SERVICES_PREFIX: &str = "services/";
+/// Prefix of the keys of failure domains.
+pub const DOMAINS_PREFIX: &str = "domains/";
+/// Prefix of the keys of balancers.
+pub const NODES_PREFIX: &str = "nodes/";
+
+/// An object whose fields can be checked against their allowed ranges.
+pub trait Checked {
+    /// Checks every field.
+    ///
+    /// # Errors
+    ///
+    /// Fails with kind `invalid_argument`; the message names field, value and allowed range.
+    fn check(&self) -> Result<()>;
+}
+
+/// Decodes and checks an object value.
+///
+/// # Errors
+///
+/// Fails with kind `invalid_argument` when a field is missing, unknown or out of range.
+pub fn decode<T: DeserializeOwned + Checked>(key: &str, value: &serde_json::Value) -> Result<T> {
+    let object = T::deserialize(value)
+        .map_err(|error| invalid_argument(format!("object {key:?}: {error}")))?;
+    object.check()?;
+    Ok(object)
+}
+
+/// Fails unless `value` lies within `min..=max`.
+fn check_range(field: &str, value: u64, min: u64, max: u64) -> Result<()> {
+    if (min..=max).contains(&value) {
+        return Ok(());
+    }
+    Err(invalid_argument(format!(
+        "object: field {field:?} is {value}; allowed is {min} to {max}"
+    )))
+}
--- /dev/null
+++ b/crates/standins/src/bin/cardamomloom_demo.rs
@@ -0,0 +1,46 @@
+//! Runs the whole system on loopback and prints one summary line.
+
+use {
+    cardamomloom_standins::demo::{Customer, run},
+    gumdrop::Options,
+    std::{env, fs, process::ExitCode},
+};
+
+/// Runs the whole system on loopback: stand-ins, three balancers and all hosts of a customer.
+#[derive(Debug, Options)]
+struct Arguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(free, help = "derwent (default) or lenas")]
+    customer: Option<Customer>,
+}
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse_args_default_or_exit();
+    let customer = arguments.customer.unwrap_or(Customer::Derwent);
+    let folder = env::temp_dir().join(format!("cardamomloom-demo-{}", std::process::id()));
+    let outcome = run(customer, &folder);
+    // The folder holds only settings files of this run.
+    let _ = fs::remove_dir_all(&folder);
+    match outcome {
+        Ok(outcome) => {
+            println!(
+                "requests={} ok={} broken={} misdelivered={} duplicated={}",
+                outcome.callers.requests,
+                outcome.callers.ok,
+                outcome.callers.broken + outcome.callers.refused,
+                outcome.callers.misdelivered,
+                outcome.duplicated
+            );
+            if outcome.is_clean() {
+                ExitCode::SUCCESS
+            } else {
+                ExitCode::FAILURE
+            }
+        }
+        Err(error) => {
+            eprintln!("cardamomloom-demo: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/bin/standin_caller.rs
@@ -0,0 +1,66 @@
+//! Process that stands in for callers.
+
+use {
+    cardamomloom_standins::caller::{CallerOptions, run},
+    gumdrop::Options,
+    std::{
+        io::{Error, Result},
+        net::{Ipv4Addr, SocketAddr},
+        sync::Arc,
+    },
+};
+
+/// Stand-in for callers; prints a JSON summary at the end.
+#[derive(Debug, Options)]
+struct Arguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "ingress of the fabric", required)]
+    fabric: Option<SocketAddr>,
+    #[options(help = "address and port of the service", required)]
+    target: Option<SocketAddr>,
+    #[options(help = "name of the service", required)]
+    service: String,
+    #[options(no_short, help = "number of flows", default = "100")]
+    flows: usize,
+    #[options(no_short, help = "time over which flows are opened", default = "2000")]
+    open_over_ms: u64,
+    #[options(no_short, help = "requests of a flow", default = "10")]
+    requests: u32,
+    #[options(
+        no_short,
+        help = "time between two requests of a flow",
+        default = "500"
+    )]
+    interval_ms: u64,
+    #[options(
+        no_short,
+        help = "time after which a flow counts as broken",
+        default = "15000"
+    )]
+    timeout_ms: u64,
+    #[options(no_short, help = "first caller address", default = "198.51.100.1")]
+    address: String,
+    #[options(no_short, help = "seed of sequence numbers", default = "1")]
+    seed: u64,
+}
+
+fn main() -> Result<()> {
+    let arguments = Arguments::parse_args_default_or_exit();
+    let first_address: Ipv4Addr = arguments.address.parse().map_err(Error::other)?;
+    let required = || Error::other("--fabric and --target are required");
+    let summary = run(&CallerOptions {
+        fabric: arguments.fabric.ok_or_else(required)?,
+        target: arguments.target.ok_or_else(required)?,
+        service: Arc::from(arguments.service),
+        flows: arguments.flows,
+        open_over_ms: arguments.open_over_ms,
+        requests_per_flow: arguments.requests,
+        interval_ms: arguments.interval_ms,
+        timeout_ms: arguments.timeout_ms,
+        first_address,
+        seed: arguments.seed,
+    })?;
+    println!("{}", serde_json::to_string(&summary)?);
+    Ok(())
+}
--- /dev/null
+++ b/crates/standins/src/demo/installation.rs
@@ -0,0 +1,321 @@
+//! Processes of one installation.
+
+use {
+    super::{Result, customers::SERVICE_PORT},
+    crate::{
+        demo::{Customer, ServicePlan},
+        fabric::Target,
+        processes::{Process, field},
+    },
+    cardamomloom_core::ObjectVersion,
+    cardamomloom_transport::store::{StoreClient, StoreOptions},
+    nix::sys::signal::Signal,
+    serde_json::{Value, json},
+    std::{
+        collections::BTreeMap,
+        fs,
+        io::Error,
+        net::SocketAddr,
+        path::{Path, PathBuf},
+        thread,
+        time::{Duration, Instant},
+    },
+    tokio::runtime::Runtime,
+};
+
+const DATAGRAM_KEY: &str = "00112233445566778899aabbccddeeff";
+const READY_TIMEOUT: Duration = Duration::from_secs(20);
+const STOP_TIMEOUT: Duration = Duration::from_secs(10);
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
+
+/// A daemon with the addresses that it printed.
+pub struct MemberProcess {
+    /// The process.
+    pub process: Process,
+    /// Packet socket and operator endpoints.
+    pub target: Target,
+    /// Control socket.
+    pub control_address: SocketAddr,
+}
+
+struct Host {
+    agent: MemberProcess,
+    _backend: Process,
+    backend_address: SocketAddr,
+}
+
+/// The running processes; all are killed when the value is dropped.
+pub struct Installation {
+    customer: Customer,
+    folder: PathBuf,
+    runtime: Runtime,
+    http: reqwest::Client,
+    _store: Process,
+    store_url: String,
+    _fabric: Process,
+    fabric_ingress: SocketAddr,
+    fabric_egress: SocketAddr,
+    fabric_control: SocketAddr,
+    balancers: Vec<MemberProcess>,
+    hosts: Vec<Vec<Host>>,
+    started_callers: u32,
+    settings_written: u32,
+}
+
+impl Installation {
+    /// Starts everything and waits until every balancer knows every host.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a process cannot be started or does not become ready.
+    pub fn start(customer: Customer, folder: &Path) -> Result<Self> {
+        fs::create_dir_all(folder)?;
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()?;
+        let store = Process::start("store", "standin-store", [""; 0])?;
+        let store_address: SocketAddr = field(&store.wait_for_event("bound")?, "http_address")?;
+        let fabric = Process::start("fabric", "standin-fabric", [""; 0])?;
+        let fabric_bound = fabric.wait_for_event("bound")?;
+        let mut installation = Self {
+            customer,
+            folder: folder.to_owned(),
+            runtime,
+            http: reqwest::Client::new(),
+            _store: store,
+            store_url: format!("http://{store_address}"),
+            _fabric: fabric,
+            fabric_ingress: field(&fabric_bound, "ingress_address")?,
+            fabric_egress: field(&fabric_bound, "egress_address")?,
+            fabric_control: field(&fabric_bound, "http_address")?,
+            balancers: Vec::new(),
+            hosts: Vec::new(),
+            started_callers: 0,
+            settings_written: 0,
+        };
+        installation.write_catalogue()?;
+        for domain in customer.domains() {
+            let balancer = installation.start_balancer(domain)?;
+            installation.balancers.push(balancer);
+        }
+        installation.set_targets()?;
+        for plan in customer.services() {
+            let hosts = installation.start_hosts(plan)?;
+            installation.hosts.push(hosts);
+        }
+        installation.wait_until_known()?;
+        Ok(installation)
+    }
+
+    /// Returns the services.
+    #[must_use]
+    pub const fn services(&self) -> [ServicePlan; 2] {
+        self.customer.services()
+    }
+
+    /// Returns the base URL of the store.
+    #[must_use]
+    pub fn store_url(&self) -> &str {
+        &self.store_url
+    }
+
+    /// Returns a balancer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is none with this index.
+    pub fn balancer(&self, index: usize) -> Result<&Process> {
+        self.balancers
+            .get(index)
+            .map(|member| &member.process)
+            .ok_or_else(|| Error::other(format!("no balancer {index}")))
+    }
+
+    /// Returns the agent of a host.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is none with these indexes.
+    pub fn agent(&self, service: usize, host: usize) -> Result<&Process> {
+        self.hosts
+            .get(service)
+            .and_then(|hosts| hosts.get(host))
+            .map(|host| &host.agent.process)
+            .ok_or_else(|| Error::other(format!("no host {host} of service {service}")))
+    }
+
+    fn write_catalogue(&self) -> Result<()> {
+        let store =
+            StoreClient::new(&self.store_url, StoreOptions::default()).map_err(Error::other)?;
+        for (key, value) in self.customer.catalogue().map_err(Error::other)? {
+            self.runtime
+                .block_on(store.put(&key, ObjectVersion(0), &value))
+                .map_err(Error::other)?;
+        }
+        Ok(())
+    }
+
+    fn start_daemon(&mut self, name: &str, domain: &str, role: &Value) -> Result<MemberProcess> {
+        let settings = json!({
+            "domain": domain,
+            "data_address": "127.0.0.1:0",
+            "control_address": "127.0.0.1:0",
+            "http_address": "127.0.0.1:0",
+            "store_url": self.store_url,
+            "datagram_key": DATAGRAM_KEY,
+            "role": role,
+        });
+        self.settings_written += 1;
+        let path = self
+            .folder
+            .join(format!("{name}-{}.json", self.settings_written));
+        fs::write(&path, settings.to_string())?;
+        let process = Process::start(
+            name,
+            "cardamomloomd",
+            ["--settings".as_ref(), path.as_os_str()],
+        )?;
+        let bound = process.wait_for_event("bound")?;
+        Ok(MemberProcess {
+            process,
+            target: Target {
+                data_address: field(&bound, "data_address")?,
+                http_address: field(&bound, "http_address")?,
+            },
+            control_address: field(&bound, "control_address")?,
+        })
+    }
+
+    fn start_balancer(&mut self, domain: &str) -> Result<MemberProcess> {
+        self.start_daemon("balancer", domain, &json!({ "balancer": {} }))
+    }
+
+    fn start_hosts(&mut self, plan: ServicePlan) -> Result<Vec<Host>> {
+        let domains = self.customer.domains();
+        (0..plan.hosts)
+            .map(|index| self.start_host(plan, domains[index % domains.len()]))
+            .collect()
+    }
+
+    fn start_host(&mut self, plan: ServicePlan, domain: &str) -> Result<Host> {
+        let backend = Process::start("backend", "standin-backend", ["--service", plan.name])?;
+        let backend_address = field(&backend.wait_for_event("bound")?, "http_address")?;
+        let role = json!({ "agent": {
+            "service": plan.name,
+            "backend_address": backend_address,
+            "return_address": self.fabric_egress,
+        }});
+        Ok(Host {
+            agent: self.start_daemon("agent", domain, &role)?,
+            _backend: backend,
+            backend_address,
+        })
+    }
+
+    /// Tells the fabric which balancers exist.
+    fn set_targets(&self) -> Result<()> {
+        let targets: Vec<Target> = self.balancers.iter().map(|member| member.target).collect();
+        let request = self
+            .http
+            .put(format!("http://{}/targets", self.fabric_control))
+            .json(&targets);
+        self.runtime
+            .block_on(async { request.send().await?.error_for_status() })
+            .map_err(Error::other)?;
+        Ok(())
+    }
+
+    /// Waits until every balancer is ready and knows every host as ready.
+    fn wait_until_known(&self) -> Result<()> {
+        let expected: usize = self.hosts.iter().map(Vec::len).sum();
+        let deadline = Instant::now() + READY_TIMEOUT;
+        for balancer in &self.balancers {
+            while self.known_hosts(balancer) < expected {
+                if Instant::now() >= deadline {
+                    return Err(Error::other("balancers do not know all hosts"));
+                }
+                thread::sleep(POLL_INTERVAL);
+            }
+        }
+        Ok(())
+    }
+
+    fn known_hosts(&self, balancer: &MemberProcess) -> usize {
+        let url = format!("http://{}/status", balancer.target.http_address);
+        let status: Value = self.get_json(&url).unwrap_or_default();
+        status["hosts"].as_array().map_or(0, |hosts| {
+            hosts.iter().filter(|host| host["state"] == "Ready").count()
+        })
+    }
+
+    fn get_json<T: serde::de::DeserializeOwned>(&self, url: &str) -> Result<T> {
+        let request = self.http.get(url);
+        self.runtime
+            .block_on(async { request.send().await?.json().await })
+            .map_err(Error::other)
+    }
+
+    /// Stops a balancer and starts another in its place.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the balancer does not stop or the new one does not start.
+    pub fn restart_balancer(&mut self, index: usize) -> Result<()> {
+        let domains = self.customer.domains();
+        let successor = self.start_balancer(domains[index % domains.len()])?;
+        let mut old = std::mem::replace(&mut self.balancers[index], successor);
+        self.set_targets()?;
+        old.process.signal(Signal::SIGTERM)?;
+        let status = old.process.wait(STOP_TIMEOUT)?;
+        if !status.success() {
+            return Err(Error::other(format!("balancer ended with {status}")));
+        }
+        Ok(())
+    }
+
+    /// Starts callers of a service.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process cannot be started.
+    pub fn start_callers(
+        &mut self,
+        service: usize,
+        flows: usize,
+        requests: u32,
+        interval_ms: u64,
+        open_over_ms: u64,
+    ) -> Result<Process> {
+        let plan = self.services()[service];
+        self.started_callers += 1;
+        let arguments = [
+            format!("--fabric={}", self.fabric_ingress),
+            format!("--target={}:{SERVICE_PORT}", plan.address),
+            format!("--service={}", plan.name),
+            format!("--flows={flows}"),
+            format!("--requests={requests}"),
+            format!("--interval-ms={interval_ms}"),
+            format!("--open-over-ms={open_over_ms}"),
+            format!("--address=198.51.100.{}", self.started_callers),
+            format!("--seed={}", self.started_callers),
+        ];
+        Process::start("callers", "standin-caller", arguments)
+    }
+
+    /// Returns how many requests ran more than once, over all backend servers.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a backend server does not answer.
+    pub fn duplicated(&self) -> Result<u64> {
+        let mut executed: BTreeMap<String, u64> = BTreeMap::new();
+        for host in self.hosts.iter().flatten() {
+            let url = format!("http://{}/executed", host.backend_address);
+            let counts: BTreeMap<String, u64> = self.get_json(&url)?;
+            for (request, count) in counts {
+                *executed.entry(request).or_default() += count;
+            }
+        }
+        Ok(executed.values().filter(|count| **count > 1).count() as u64)
+    }
+}
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,10 @@
+//! Stand-ins for the systems around cardamomloom: platform store, fabric, backend server, caller.
+//!
+//! They serve demonstrations, tests and measurements; the daemon never links this crate.
+
+pub mod backend;
+pub mod caller;
+pub mod demo;
+pub mod fabric;
+pub mod processes;
+pub mod store;
--- /dev/null
+++ b/crates/state/src/candidates/mod.rs
@@ -0,0 +1,213 @@
+//! Candidate table of one service: for each bucket an ordered list of hosts.
+//!
+//! The order is weighted rendezvous hashing (Thaler and Ravishankar, "Using name-based mappings
+//! to increase hit rates", 1998): a change of one host moves only buckets that it enters or
+//! leaves. Scores use integers only, so that every process computes the same table.
+
+mod score;
+
+use {
+    cardamomloom_core::{
+        BucketId, DomainName, HostId, ServiceId, TableVersion, Weight,
+        error::{Error, invalid_argument},
+    },
+    cardamomloom_protocol::{
+        control::{HostEntry, HostState},
+        packet::FlowKey,
+    },
+    siphasher::sip::SipHasher13,
+    std::{
+        hash::{Hash, Hasher},
+        net::{IpAddr, SocketAddr},
+    },
+};
+
+/// Result of building a table.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Candidates of a bucket.
+pub const CANDIDATES_PER_BUCKET: usize = 4;
+
+/// Buckets of a service. With 7 hosts the spread of the table itself is about 2 %.
+pub const BUCKETS_PER_SERVICE: u32 = 8_192;
+
+/// Most hosts of one service; a candidate is stored as a 16-bit index.
+pub const MAX_HOSTS_PER_SERVICE: usize = 4_096;
+
+/// One host as the candidate table needs it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Candidate {
+    /// Identity of the host.
+    pub host: HostId,
+    /// Failure domain of the host.
+    pub domain: DomainName,
+    /// Address of the agent's packet socket.
+    pub data_address: SocketAddr,
+    /// Address of the agent's control socket.
+    pub control_address: SocketAddr,
+    /// Whether the host takes new flows.
+    pub accepts_new: bool,
+    /// Share in placement.
+    pub weight: Weight,
+}
+
+impl From<&HostEntry> for Candidate {
+    fn from(entry: &HostEntry) -> Self {
+        Self {
+            host: entry.host,
+            domain: entry.domain.clone(),
+            data_address: entry.data_address,
+            control_address: entry.control_address,
+            accepts_new: entry.state == HostState::Ready,
+            weight: entry.weight,
+        }
+    }
+}
+
+/// Marks an unused position in the list of a bucket with fewer hosts than positions.
+const EMPTY: u16 = u16::MAX;
+
+/// Candidate table of one service.
+#[derive(Clone, Debug)]
+pub struct CandidateTable {
+    service: ServiceId,
+    version: TableVersion,
+    hash_key: [u8; 16],
+    candidates: Vec<Candidate>,
+    buckets: Vec<[u16; CANDIDATES_PER_BUCKET]>,
+}
+
+impl CandidateTable {
+    /// Builds the table of a service from hosts in any order.
+    ///
+    /// # Errors
+    ///
+    /// Fails with kind `invalid_argument` when the service has more than
+    /// [`MAX_HOSTS_PER_SERVICE`] hosts.
+    pub fn build(
+        service: ServiceId,
+        hash_key: [u8; 16],
+        mut candidates: Vec<Candidate>,
+    ) -> Result<Self> {
+        if candidates.len() > MAX_HOSTS_PER_SERVICE {
+            return Err(invalid_argument(format!(
+                "candidates: service {service} has {} hosts; allowed are {MAX_HOSTS_PER_SERVICE}",
+                candidates.len()
+            )));
+        }
+        candidates.sort_by_key(|candidate| candidate.host);
+        let version = digest(service, hash_key, &candidates);
+        let ranking = score::Ranking::new(&candidates);
+        let buckets = (0..BUCKETS_PER_SERVICE)
+            .map(|bucket| ranking.best(bucket))
+            .collect();
+        Ok(Self {
+            service,
+            version,
+            hash_key,
+            candidates,
+            buckets,
+        })
+    }
+
+    /// Tells whether the table was built from these inputs, with `candidates` in id order.
+    #[must_use]
+    pub fn has_inputs(&self, hash_key: [u8; 16], candidates: &[Candidate]) -> bool {
+        self.hash_key == hash_key && self.candidates == candidates
+    }
+
+    /// Returns the service of the table.
+    #[must_use]
+    pub const fn service(&self) -> ServiceId {
+        self.service
+    }
+
+    /// Returns the digest of the inputs.
+    #[must_use]
+    pub const fn version(&self) -> TableVersion {
+        self.version
+    }
+
+    /// Returns all hosts of the service in id order.
+    #[must_use]
+    pub fn hosts(&self) -> &[Candidate] {
+        &self.candidates
+    }
+
+    /// Returns a host of the service.
+    #[must_use]
+    pub fn host(&self, host: HostId) -> Option<&Candidate> {
+        let index = self
+            .candidates
+            .binary_search_by_key(&host, |candidate| candidate.host)
+            .ok()?;
+        self.candidates.get(index)
+    }
+
+    /// Returns the bucket of a flow.
+    #[must_use]
+    pub fn bucket_of(&self, flow: &FlowKey) -> BucketId {
+        let hash = flow_hash(self.hash_key, flow);
+        BucketId(u32::try_from(hash >> 32).unwrap_or_default() % BUCKETS_PER_SERVICE)
+    }
+
+    /// Returns the candidates of a bucket, best first.
+    pub fn candidates_of(&self, bucket: BucketId) -> impl Iterator<Item = &Candidate> {
+        self.buckets
+            .get(bucket.0 as usize)
+            .into_iter()
+            .flatten()
+            .filter_map(|index| self.candidates.get(usize::from(*index)))
+    }
+
+    /// Returns the host that receives packets of a bucket first.
+    ///
+    /// A packet that opens a flow skips hosts that take no new flows while another can.
+    #[must_use]
+    pub fn first(&self, bucket: BucketId, opens_flow: bool) -> Option<&Candidate> {
+        let mut candidates = self.candidates_of(bucket);
+        if opens_flow {
+            candidates
+                .find(|candidate| candidate.accepts_new)
+                .or_else(|| self.candidates_of(bucket).next())
+        } else {
+            candidates.next()
+        }
+    }
+}
+
+/// Returns the keyed hash of a flow, so that callers cannot choose their bucket.
+#[must_use]
+pub fn flow_hash(hash_key: [u8; 16], flow: &FlowKey) -> u64 {
+    let mut bytes = [0; 36];
+    write_address(&mut bytes[..16], flow.caller.ip());
+    write_address(&mut bytes[16..32], flow.service.ip());
+    bytes[32..34].copy_from_slice(&flow.caller.port().to_be_bytes());
+    bytes[34..].copy_from_slice(&flow.service.port().to_be_bytes());
+    let mut hasher = SipHasher13::new_with_key(&hash_key);
+    hasher.write(&bytes);
+    hasher.finish()
+}
+
+/// Writes IPv4 addresses in their IPv4-mapped form, RFC 4291 section 2.5.5.2.
+fn write_address(out: &mut [u8], address: IpAddr) {
+    let address = match address {
+        IpAddr::V4(address) => address.to_ipv6_mapped(),
+        IpAddr::V6(address) => address,
+    };
+    out.copy_from_slice(&address.octets());
+}
+
+/// Digest over everything that decides the order of candidates, equal on every process with equal
+/// inputs. Draining does not change the order, so it is left out.
+fn digest(service: ServiceId, hash_key: [u8; 16], candidates: &[Candidate]) -> TableVersion {
+    let mut hasher = SipHasher13::new_with_key(&hash_key);
+    service.hash(&mut hasher);
+    for candidate in candidates {
+        candidate.host.hash(&mut hasher);
+        candidate.domain.as_str().hash(&mut hasher);
+        candidate.data_address.hash(&mut hasher);
+        candidate.weight.hash(&mut hasher);
+    }
+    TableVersion(hasher.finish())
+}
--- /dev/null
+++ b/crates/transport/src/lib.rs
@@ -0,0 +1,7 @@
+//! Sockets and clients; this crate moves bytes and takes no decisions.
+
+pub mod clock;
+pub mod http;
+pub mod store;
+pub mod streams;
+pub mod udp;
