--- /dev/null
+++ b/crates/bench/src/experiment/mod.rs
@@ -0,0 +1,41 @@
+//! What an experiment is, and the registry of all experiments.
+
+mod lookup;
+
+use {crate::report::Report, cardamomloom_core::error::Error, std::path::PathBuf};
+
+/// Result of an experiment.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Options that every experiment takes.
+#[derive(Clone, Debug, Default)]
+pub struct RunOptions {
+    /// Seed of all random choices.
+    pub seed: u64,
+    /// Whether small sizes are enough.
+    pub quick: bool,
+    /// Folder for plots, if any are wanted.
+    pub plots: Option<PathBuf>,
+}
+
+/// One experiment.
+pub trait Experiment {
+    /// Returns the name on the command line.
+    fn name(&self) -> &'static str;
+
+    /// Returns one line that says what is measured.
+    fn summary(&self) -> &'static str;
+
+    /// Runs the experiment.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a socket, process or file cannot be used.
+    fn run(&self, options: &RunOptions) -> Result<Report>;
+}
+
+/// Returns all experiments.
+#[must_use]
+pub fn registry() -> Vec<Box<dyn Experiment>> {
+    vec![Box::new(lookup::Lookup)]
+}
--- /dev/null
+++ b/crates/bench/src/report/mod.rs
@@ -0,0 +1,108 @@
+//! Report of an experiment, as one JSON object or as a table.
+
+mod plot;
+
+pub use plot::{Axes, Series, line_plot};
+
+use {
+    crate::experiment::RunOptions,
+    cardamomloom_core::error::{Error, io},
+    serde_json::{Value, json},
+    std::{fs, path::Path},
+};
+
+/// Result of writing a report.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Rows of an experiment; each row is a JSON object with the same fields.
+#[derive(Clone, Debug)]
+pub struct Report {
+    experiment: &'static str,
+    seed: u64,
+    quick: bool,
+    rows: Vec<Value>,
+    plot: Option<String>,
+}
+
+impl Report {
+    /// Creates an empty report.
+    #[must_use]
+    pub const fn new(experiment: &'static str, options: &RunOptions) -> Self {
+        Self {
+            experiment,
+            seed: options.seed,
+            quick: options.quick,
+            rows: Vec::new(),
+            plot: None,
+        }
+    }
+
+    /// Adds a row, a JSON object.
+    pub fn row(&mut self, row: Value) {
+        self.rows.push(row);
+    }
+
+    /// Sets the plot, an SVG document.
+    pub fn set_plot(&mut self, svg: String) {
+        self.plot = Some(svg);
+    }
+
+    /// Writes the plot, if there is one, to `<folder>/<experiment>.svg`.
+    ///
+    /// # Errors
+    ///
+    /// Fails with kind `io` when the folder or the file cannot be written.
+    pub fn write_plot(&self, folder: &Path) -> Result<()> {
+        let Some(svg) = &self.plot else {
+            return Ok(());
+        };
+        let path = folder.join(format!("{}.svg", self.experiment));
+        fs::create_dir_all(folder)
+            .and_then(|()| fs::write(&path, svg))
+            .map_err(|error| io(format!("report: cannot write {}: {error}", path.display())))
+    }
+
+    /// Prints the report to standard output.
+    pub fn print(&self, as_json: bool) {
+        if as_json {
+            let object = json!({
+                "experiment": self.experiment,
+                "seed": self.seed,
+                "quick": self.quick,
+                "rows": self.rows,
+            });
+            println!("{object}");
+            return;
+        }
+        println!("{} (seed {})", self.experiment, self.seed);
+        self.print_table();
+    }
+
+    fn print_table(&self) {
+        let Some(Value::Object(first)) = self.rows.first() else {
+            return;
+        };
+        let names: Vec<&String> = first.keys().collect();
+        print_line(names.iter().map(|name| (*name).clone()));
+        for row in &self.rows {
+            print_line(names.iter().map(|name| cell(&row[*name])));
+        }
+    }
+}
+
+fn print_line(cells: impl Iterator<Item = String>) {
+    for cell in cells {
+        print!("{cell:>22}");
+    }
+    println!();
+}
+
+fn cell(value: &Value) -> String {
+    match value {
+        Value::String(text) => text.clone(),
+        Value::Number(number) if number.is_f64() => {
+            format!("{:.3}", number.as_f64().unwrap_or_default())
+        }
+        other => other.to_string(),
+    }
+}
