standins: end-to-end tests under kills, pauses and foreign bytes

Cause: only the demonstration showed the system under change.

Change: tests with real processes: SIGKILL of a balancer, an agent and the store, SIGSTOP of a balancer for 20 s, an agent that drains to its end, and foreign bytes on every port. An agent killed under load may break only its own flows.

--- /dev/null
+++ b/crates/standins/tests/end_to_end.rs
@@ -0,0 +1,113 @@
+//! The whole system as real processes under failures.
+//!
+//! Each test starts about 25 processes, so the tests run one after another.
+
+use {
+    cardamomloom_standins::demo::{Customer, Installation, Load, Outcome, run_with},
+    nix::sys::signal::Signal,
+    std::{
+        env, fs,
+        io::Result,
+        net::{TcpStream, UdpSocket},
+        sync::{Mutex, MutexGuard, PoisonError},
+        thread,
+        time::Duration,
+    },
+};
+
+static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
+
+fn exclusive() -> MutexGuard<'static, ()> {
+    ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn run(name: &str, load: &Load, disturb: impl FnOnce(&mut Installation) -> Result<()>) -> Outcome {
+    let _exclusive = exclusive();
+    let folder = env::temp_dir().join(format!("cardamomloom-{name}-{}", std::process::id()));
+    let outcome = run_with(Customer::Derwent, &folder, load, disturb);
+    let _ = fs::remove_dir_all(&folder);
+    outcome.expect("all processes start and end")
+}
+
+/// Guards against flows that depend on one balancer: a killed one must not break any.
+#[test]
+fn verify_killed_balancer_breaks_no_flow() {
+    let outcome = run("kill-balancer", &Load::default(), |installation| {
+        installation.balancer(1)?.signal(Signal::SIGKILL)
+    });
+    assert!(outcome.is_clean(), "{outcome:?}");
+}
+
+/// Guards against a balancer that sends old packets after a pause and breaks or repeats requests.
+#[test]
+fn verify_paused_balancer_breaks_no_flow() {
+    let load = Load {
+        requests_per_flow: 36,
+        timeout_ms: 30_000,
+        ..Load::default()
+    };
+    let outcome = run("pause-balancer", &load, |installation| {
+        let balancer = installation.balancer(1)?;
+        balancer.signal(Signal::SIGSTOP)?;
+        thread::sleep(Duration::from_secs(20));
+        balancer.signal(Signal::SIGCONT)
+    });
+    assert!(outcome.is_clean(), "{outcome:?}");
+}
+
+/// Guards against a killed agent that takes flows of other hosts with it, or whose requests run
+/// again elsewhere.
+#[test]
+fn verify_killed_agent_breaks_only_its_own_flows() {
+    let mut open_flows = 0;
+    let outcome = run("kill-agent", &Load::default(), |installation| {
+        let status = installation.agent_status(0, 2)?;
+        open_flows = status["open_flows"].as_u64().unwrap_or_default();
+        installation.agent(0, 2)?.signal(Signal::SIGKILL)
+    });
+    // The status is at most 0.2 s old; in that time at most 6 flows of the service are opened.
+    assert!(outcome.callers.broken <= open_flows + 6, "{outcome:?}");
+    assert_eq!(outcome.callers.refused, 0, "{outcome:?}");
+    assert_eq!(outcome.callers.misdelivered, 0, "{outcome:?}");
+    assert_eq!(outcome.duplicated, 0, "{outcome:?}");
+}
+
+/// Guards against an agent that ends while it has flows, or never ends.
+#[test]
+fn verify_drained_agent_ends_after_its_flows() {
+    let outcome = run("drain-agent", &Load::default(), |installation| {
+        installation.agent(0, 1)?.signal(Signal::SIGTERM)?;
+        installation.wait_for_agent(0, 1, Duration::from_secs(40))
+    });
+    assert!(outcome.is_clean(), "{outcome:?}");
+}
+
+/// Guards against a data path that needs the store: it is killed while flows are opened.
+#[test]
+fn verify_killed_store_breaks_no_flow() {
+    let outcome = run("kill-store", &Load::default(), |installation| {
+        installation.store().signal(Signal::SIGKILL)
+    });
+    assert!(outcome.is_clean(), "{outcome:?}");
+}
+
+/// Guards against a process that fails on foreign bytes at any of its ports.
+#[test]
+fn verify_garbage_on_every_port_changes_nothing() {
+    let outcome = run("garbage", &Load::default(), |installation| {
+        let socket = UdpSocket::bind("127.0.0.1:0")?;
+        for address in installation.daemon_addresses() {
+            for length in [0, 1, 3, 20, 47, 48, 60, 200, 1_400] {
+                let bytes: Vec<u8> = (0..=u8::MAX).cycle().step_by(37).take(length).collect();
+                socket.send_to(&bytes, address)?;
+            }
+            if let Ok(mut stream) = TcpStream::connect_timeout(&address, Duration::from_millis(200))
+            {
+                // The server may close at once; either way nothing else may happen.
+                let _ = std::io::Write::write_all(&mut stream, &[0xff; 600]);
+            }
+        }
+        Ok(())
+    });
+    assert!(outcome.is_clean(), "{outcome:?}");
+}
