transport: TLS with mutual authentication, roles and reload

Cause: processes of one installation must refuse peers of another identity or role, and certificates change without a restart.

Change: TlsContext reads authorities, certificate and key from PEM files, checks the role in the peer's certificate, and uses changed files for new connections; a bad file leaves the old material in use.

Measured: verify_peer_of_another_authority_is_refused, verify_peer_of_another_role_is_refused and verify_files_are_reloaded pass. It is not used by a process yet.

--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -4,4 +4,5 @@
 pub mod http;
 pub mod store;
 pub mod streams;
+pub mod tls;
 pub mod udp;
