coordination: keep live idle flows and give up vanished callers

Cause: smoltcp aborts a socket with a user timeout when nothing was received for that time, so a live flow that was idle for 60 s was cut. Found by verify_idle_caller_is_kept; a missing keep-alive was the only difference to a flow with traffic.

Change: keep-alive every 45 s, below the user timeout of 60 s. Tests of the agent's TCP termination over IPv4 and IPv6, with loss, half-close, reset and vanished callers.

Measured: verify_idle_caller_is_kept failed before and passes now, with verify_vanished_idle_caller_is_given_up; all 7 tests of agent_tcp pass.

--- a/crates/coordination/src/termination/mod.rs
+++ b/crates/coordination/src/termination/mod.rs
@@ -30,6 +30,8 @@
     pub send_buffer_bytes: usize,
     /// Time without an answer from the caller after which the flow is aborted.
     pub user_timeout_ms: u64,
+    /// Time without traffic after which the caller is asked for a sign of life.
+    pub keep_alive_ms: u64,
     /// Largest IP packet.
     pub mtu_bytes: usize,
 }
@@ -41,6 +43,8 @@
             receive_buffer_bytes: 2_048,
             send_buffer_bytes: 4_096,
             user_timeout_ms: 60_000,
+            // Below the user timeout, so that a live but idle caller answers in time.
+            keep_alive_ms: 45_000,
             mtu_bytes: 1_400,
         }
     }
@@ -94,6 +98,7 @@
         socket.set_nagle_enabled(false);
         socket.set_ack_delay(None);
         socket.set_timeout(Some(Duration::from_millis(options.user_timeout_ms)));
+        socket.set_keep_alive(Some(Duration::from_millis(options.keep_alive_ms)));
         socket
             .listen(IpListenEndpoint {
                 addr: Some(address),
--- /dev/null
+++ b/crates/coordination/tests/agent_tcp.rs
@@ -0,0 +1,311 @@
+//! The agent's TCP termination against a caller with a TCP stack, over IPv4 and IPv6.
+
+use {
+    cardamomloom_coordination::{
+        admission::FixedLimit,
+        agent::{Agent, AgentIo},
+        ownership::{FlowId, Hop, Ownership, OwnershipOptions},
+        termination::{TerminationOptions, device::PacketDevice},
+    },
+    cardamomloom_core::{BucketId, HostId, ServiceId, Span, TableVersion, Time},
+    cardamomloom_protocol::{
+        forward::{ForwardHeader, Visited},
+        packet::DropCause,
+    },
+    smoltcp::{
+        iface::{Config, Interface, SocketHandle, SocketSet},
+        socket::tcp,
+        time::Instant,
+        wire::{HardwareAddress, IpAddress, IpCidr},
+    },
+    std::{
+        io::{Error, ErrorKind, Result},
+        net::SocketAddr,
+    },
+};
+
+const MTU_BYTES: usize = 1_400;
+
+/// Backend server that answers every byte with itself, and what the agent sent.
+#[derive(Default)]
+struct Echo {
+    to_caller: Vec<Vec<u8>>,
+    pending: Vec<u8>,
+    connecting: Option<FlowId>,
+    caller_ended: bool,
+    ended: bool,
+    reset: bool,
+    dropped: Vec<DropCause>,
+}
+
+impl AgentIo for Echo {
+    fn send_to_caller(&mut self, packet: &[u8]) {
+        self.to_caller.push(packet.to_vec());
+    }
+
+    fn forward(&mut self, _hop: &Hop, _packet: &[u8]) {}
+
+    fn connect(&mut self, flow: FlowId) -> Result<()> {
+        self.connecting = Some(flow);
+        Ok(())
+    }
+
+    fn write(&mut self, _flow: FlowId, bytes: &[u8]) -> Result<usize> {
+        self.pending.extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn read(&mut self, _flow: FlowId, buffer: &mut [u8]) -> Result<usize> {
+        let count = self.pending.len().min(buffer.len());
+        if count == 0 && !self.caller_ended {
+            return Err(Error::from(ErrorKind::WouldBlock));
+        }
+        buffer[..count].copy_from_slice(&self.pending[..count]);
+        self.pending.drain(..count);
+        Ok(count)
+    }
+
+    fn shutdown_write(&mut self, _flow: FlowId) {
+        self.caller_ended = true;
+    }
+
+    fn close(&mut self, _flow: FlowId, reset: bool) {
+        self.ended = true;
+        self.reset |= reset;
+    }
+
+    fn count_drop(&mut self, cause: DropCause) {
+        self.dropped.push(cause);
+    }
+}
+
+struct Caller {
+    interface: Interface,
+    sockets: SocketSet<'static>,
+    handle: SocketHandle,
+}
+
+impl Caller {
+    fn connect(from: SocketAddr, to: SocketAddr) -> Self {
+        let mut discard = |_: &[u8]| {};
+        let mut device = PacketDevice::new(None, &mut discard, MTU_BYTES);
+        let mut config = Config::new(HardwareAddress::Ip);
+        config.random_seed = 7;
+        let mut interface = Interface::new(config, &mut device, Instant::ZERO);
+        let address = IpAddress::from(from.ip());
+        let prefix_bits = if from.is_ipv4() { 32 } else { 128 };
+        interface.update_ip_addrs(|addresses| {
+            addresses
+                .push(IpCidr::new(address, prefix_bits))
+                .expect("room for one address");
+        });
+        match address {
+            IpAddress::Ipv4(gateway) => {
+                let _ = interface.routes_mut().add_default_ipv4_route(gateway);
+            }
+            IpAddress::Ipv6(gateway) => {
+                let _ = interface.routes_mut().add_default_ipv6_route(gateway);
+            }
+        }
+        let buffer = || tcp::SocketBuffer::new(vec![0; 16_384]);
+        let mut socket = tcp::Socket::new(buffer(), buffer());
+        socket
+            .connect(interface.context(), to, from)
+            .expect("valid addresses");
+        let mut sockets = SocketSet::new(Vec::new());
+        let handle = sockets.add(socket);
+        Self {
+            interface,
+            sockets,
+            handle,
+        }
+    }
+
+    fn socket(&mut self) -> &mut tcp::Socket<'static> {
+        self.sockets.get_mut(self.handle)
+    }
+
+    fn poll(&mut self, now: Time, packet: Option<&[u8]>) -> Vec<Vec<u8>> {
+        let mut sent = Vec::new();
+        let mut sink = |bytes: &[u8]| sent.push(bytes.to_vec());
+        let mut device = PacketDevice::new(packet, &mut sink, MTU_BYTES);
+        let now = Instant::from_micros(i64::try_from(now.0).expect("small times"));
+        self.interface.poll(now, &mut device, &mut self.sockets);
+        sent
+    }
+}
+
+struct Net {
+    agent: Agent,
+    io: Echo,
+    caller: Caller,
+    now: Time,
+    /// Every n-th packet of the caller is lost; 0 for none.
+    lose_every: usize,
+    packets: usize,
+}
+
+impl Net {
+    fn new(caller: &str, service: &str, lose_every: usize) -> Self {
+        let (caller, service) = (
+            caller.parse().expect("valid address"),
+            service.parse().expect("valid address"),
+        );
+        let mut ownership = Ownership::new(HostId(1), ServiceId(1), OwnershipOptions::default());
+        ownership.set_addresses(vec![service]);
+        let agent = Agent::new(
+            ownership,
+            Box::new(FixedLimit::new(10)),
+            TerminationOptions::default(),
+            3,
+        );
+        Self {
+            agent,
+            io: Echo::default(),
+            caller: Caller::connect(caller, service),
+            now: Time::ZERO,
+            lose_every,
+            packets: 0,
+        }
+    }
+
+    /// Runs the exchange for a span of virtual time.
+    fn run(&mut self, span: Span) {
+        let end = self.now + span;
+        while self.now < end {
+            let mut sent = self.caller.poll(self.now, None);
+            for packet in std::mem::take(&mut self.io.to_caller) {
+                sent.extend(self.caller.poll(self.now, Some(&packet)));
+            }
+            for packet in sent {
+                self.packets += 1;
+                let is_lost = self.lose_every > 0 && self.packets.is_multiple_of(self.lose_every);
+                if !is_lost {
+                    self.agent
+                        .on_packet(self.now, &header(), &packet, &mut self.io);
+                }
+            }
+            if let Some(flow) = self.io.connecting.take() {
+                self.agent.on_connected(self.now, flow, &mut self.io);
+            }
+            self.agent.on_timer(self.now, &mut self.io);
+            self.now = self.now + Span::from_millis(5);
+        }
+    }
+
+    /// Sends `bytes` and returns what came back.
+    fn exchange(&mut self, bytes: &[u8]) -> Vec<u8> {
+        let mut received = Vec::new();
+        let mut rest = bytes;
+        for _ in 0..4_000 {
+            if self.caller.socket().can_send() {
+                let count = self.caller.socket().send_slice(rest).expect("can send");
+                rest = &rest[count..];
+            }
+            self.run(Span::from_millis(20));
+            let socket = self.caller.socket();
+            while socket.can_recv() {
+                socket
+                    .recv(|part| {
+                        received.extend_from_slice(part);
+                        (part.len(), ())
+                    })
+                    .expect("can receive");
+            }
+            if received.len() >= bytes.len() {
+                break;
+            }
+        }
+        received
+    }
+}
+
+fn header() -> ForwardHeader {
+    ForwardHeader {
+        service: ServiceId(1),
+        table: TableVersion(1),
+        bucket: BucketId(0),
+        hops: 0,
+        visited: Visited::default(),
+    }
+}
+
+fn pattern(length: usize) -> Vec<u8> {
+    (0..=u8::MAX).cycle().take(length).collect()
+}
+
+/// Guards against bytes that are lost, repeated or reordered between caller and server.
+#[test]
+fn verify_bytes_pass_unchanged_over_both_ip_versions() {
+    for (caller, service) in [
+        ("198.51.100.1:40000", "203.0.113.1:80"),
+        ("[2001:db8::1]:40000", "[2001:db8:1::1]:80"),
+    ] {
+        let mut net = Net::new(caller, service, 0);
+        assert_eq!(net.exchange(&pattern(100_000)), pattern(100_000));
+        assert_eq!(net.io.dropped, []);
+    }
+}
+
+/// Guards against a flow that does not recover from lost packets.
+#[test]
+fn verify_bytes_pass_unchanged_under_loss() {
+    let mut net = Net::new("198.51.100.1:40000", "203.0.113.1:80", 7);
+    assert_eq!(net.exchange(&pattern(20_000)), pattern(20_000));
+}
+
+/// Guards against an end of stream that is not passed on, or that loses the bytes before it.
+#[test]
+fn verify_half_close_is_passed_on_after_all_bytes() {
+    let mut net = Net::new("198.51.100.1:40000", "203.0.113.1:80", 0);
+    assert_eq!(net.exchange(b"last words"), b"last words");
+    net.caller.socket().close();
+    net.run(Span::from_secs(20));
+    assert!(net.io.caller_ended && net.io.ended && !net.io.reset);
+    assert_eq!(net.agent.flow_count(), 0);
+    assert_eq!(net.agent.admission_mut().open_connections(), 0);
+}
+
+/// Guards against a reset by the caller that leaves the connection to the server open.
+#[test]
+fn verify_reset_by_the_caller_resets_the_server() {
+    let mut net = Net::new("198.51.100.1:40000", "203.0.113.1:80", 0);
+    assert_eq!(net.exchange(b"x"), b"x");
+    net.caller.socket().abort();
+    net.run(Span::from_secs(1));
+    assert!(net.io.reset);
+    assert_eq!(net.agent.flow_count(), 0);
+}
+
+/// Guards against a caller that vanishes and holds its connection for ever.
+#[test]
+fn verify_vanished_caller_is_given_up() {
+    let mut net = Net::new("198.51.100.1:40000", "203.0.113.1:80", 0);
+    assert_eq!(net.exchange(b"x"), b"x");
+    net.lose_every = 1;
+    net.io.pending = pattern(10);
+    let flow = FlowId(1);
+    net.agent.on_server_ready(net.now, flow, &mut net.io);
+    net.run(Span::from_secs(70));
+    assert_eq!(net.agent.flow_count(), 0);
+    assert!(net.io.reset);
+}
+
+/// Guards against an idle flow whose caller vanished and that holds its connection for ever.
+#[test]
+fn verify_vanished_idle_caller_is_given_up() {
+    let mut net = Net::new("198.51.100.1:40000", "203.0.113.1:80", 0);
+    assert_eq!(net.exchange(b"x"), b"x");
+    net.lose_every = 1;
+    net.run(Span::from_secs(200));
+    assert_eq!(net.agent.flow_count(), 0);
+}
+
+/// Guards against a live but idle flow being given up.
+#[test]
+fn verify_idle_caller_is_kept() {
+    let mut net = Net::new("198.51.100.1:40000", "203.0.113.1:80", 0);
+    assert_eq!(net.exchange(b"x"), b"x");
+    net.run(Span::from_secs(600));
+    assert_eq!(net.exchange(b"y"), b"y");
+}
