standins: links that lose and delay packets, store faults from tests

Cause: the links between failure domains are lossy and their delay varies, and the store has outages; the end-to-end tests had neither.

Change: the fabric takes loss, delay and jitter over HTTP; the installation sets them and the faults of the store.

Measured: verify_lossy_links_break_no_flow (2 % loss, 3 to 7 ms, a balancer restarts, a host drains) and verify_store_outage_breaks_no_flow pass: nothing broken, misdelivered or duplicated.

--- a/crates/standins/src/demo/installation.rs
+++ b/crates/standins/src/demo/installation.rs
@@ -4,12 +4,14 @@
     super::{Result, customers::SERVICE_PORT},
     crate::{
         demo::{Customer, ServicePlan},
-        fabric::Target,
+        fabric::{Links, Target},
         processes::{Process, field},
+        store::Faults,
     },
     cardamomloom_core::ObjectVersion,
     cardamomloom_transport::store::{StoreClient, StoreOptions},
     nix::sys::signal::Signal,
+    serde::Serialize,
     serde_json::{Value, json},
     std::{
         collections::BTreeMap,
@@ -304,10 +306,29 @@
     /// Tells the fabric which balancers exist.
     fn set_targets(&self) -> Result<()> {
         let targets: Vec<Target> = self.balancers.iter().map(|member| member.target).collect();
-        let request = self
-            .http
-            .put(format!("http://{}/targets", self.fabric_control))
-            .json(&targets);
+        self.put_json(&format!("http://{}/targets", self.fabric_control), &targets)
+    }
+
+    /// Sets loss and delay of the links.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the fabric does not answer.
+    pub fn set_links(&self, links: Links) -> Result<()> {
+        self.put_json(&format!("http://{}/links", self.fabric_control), &links)
+    }
+
+    /// Sets the faults of the store.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store does not answer.
+    pub fn set_store_faults(&self, faults: Faults) -> Result<()> {
+        self.put_json(&format!("{}/faults", self.store_url), &faults)
+    }
+
+    fn put_json<T: Serialize>(&self, url: &str, body: &T) -> Result<()> {
+        let request = self.http.put(url).json(body);
         self.runtime
             .block_on(async { request.send().await?.error_for_status() })
             .map_err(Error::other)?;
--- a/crates/standins/src/fabric/mod.rs
+++ b/crates/standins/src/fabric/mod.rs
@@ -39,6 +39,18 @@
     pub http_address: SocketAddr,
 }
 
+/// Behaviour of the links between callers, balancers and agents.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Links {
+    /// Share of packets that are lost.
+    pub loss_ppm: u32,
+    /// Delay of every packet.
+    pub delay_ms: u64,
+    /// Largest random addition to the delay; packets overtake each other by it.
+    pub jitter_ms: u64,
+}
+
 /// State shared by the tasks of the fabric.
 #[derive(Clone, Default)]
 pub struct Fabric(Arc<Shared>);
@@ -48,6 +60,7 @@
     targets: Mutex<Vec<Target>>,
     ready: Mutex<Vec<SocketAddr>>,
     callers: Mutex<HashMap<SocketAddr, SocketAddr>>,
+    links: Mutex<Links>,
 }
 
 /// Sockets of the fabric.
@@ -74,6 +87,7 @@
     pub async fn run(self, sockets: FabricSockets, seed: u64) -> Result<()> {
         let router = Router::new()
             .route("/targets", put(put_targets))
+            .route("/links", put(put_links))
             .with_state(self.clone());
         tokio::spawn(self.clone().probe());
         let control = async { axum::serve(sockets.control, router).await };
@@ -81,7 +95,7 @@
         tokio::try_join!(
             control,
             self.spray(ingress.clone(), seed),
-            self.take_back(&sockets.egress, ingress.clone()),
+            self.take_back(&sockets.egress, ingress.clone(), seed),
         )?;
         Ok(())
     }
@@ -102,13 +116,45 @@
                 ready.get(index).copied()
             };
             if let Some(target) = target {
-                // A full socket buffer loses the packet, as a fabric may.
-                let _ = ingress.send_to(datagram, target).await;
+                self.transmit(&mut random, &ingress, datagram, target).await;
             }
         }
     }
 
-    async fn take_back(&self, egress: &UdpSocket, ingress: Arc<UdpSocket>) -> Result<()> {
+    /// Sends a datagram over a link that may lose or delay it.
+    async fn transmit(
+        &self,
+        random: &mut ChaCha8Rng,
+        socket: &Arc<UdpSocket>,
+        datagram: &[u8],
+        to: SocketAddr,
+    ) {
+        let links = *lock(&self.0.links);
+        if random.random_range(0..1_000_000) < links.loss_ppm {
+            return;
+        }
+        let delay_ms = links.delay_ms + random.random_range(0..=links.jitter_ms);
+        if delay_ms == 0 {
+            // A full socket buffer loses the packet, as a fabric may.
+            let _ = socket.send_to(datagram, to).await;
+            return;
+        }
+        let (socket, datagram) = (socket.clone(), datagram.to_vec());
+        tokio::spawn(async move {
+            time::sleep(Duration::from_millis(delay_ms)).await;
+            let _ = socket.send_to(&datagram, to).await;
+        });
+    }
+
+    async fn take_back(
+        &self,
+        egress: &UdpSocket,
+        ingress: Arc<UdpSocket>,
+        seed: u64,
+    ) -> Result<()> {
+        // Another stream of the same generator, so that the directions are independent.
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        random.set_stream(1);
         let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
         loop {
             let (length, _) = egress.recv_from(&mut buffer).await?;
@@ -122,7 +168,7 @@
             };
             let caller = lock(&self.0.callers).get(&meta.flow.service).copied();
             if let Some(caller) = caller {
-                let _ = ingress.send_to(datagram, caller).await;
+                self.transmit(&mut random, &ingress, datagram, caller).await;
             }
         }
     }
@@ -156,3 +202,8 @@
     fabric.set_targets(targets);
     StatusCode::NO_CONTENT
 }
+
+async fn put_links(State(fabric): State<Fabric>, Json(links): Json<Links>) -> StatusCode {
+    *lock(&fabric.0.links) = links;
+    StatusCode::NO_CONTENT
+}
--- a/crates/standins/tests/end_to_end.rs
+++ b/crates/standins/tests/end_to_end.rs
@@ -3,7 +3,11 @@
 //! Each test starts about 25 processes, so the tests run one after another.
 
 use {
-    cardamomloom_standins::demo::{Customer, Installation, Load, Outcome, run_with},
+    cardamomloom_standins::{
+        demo::{Customer, Installation, Load, Outcome, run_with},
+        fabric::Links,
+        store::Faults,
+    },
     nix::sys::signal::Signal,
     std::{
         env, fs,
@@ -91,6 +95,35 @@
     assert!(outcome.is_clean(), "{outcome:?}");
 }
 
+/// Guards against flows that need ordered or complete delivery between processes: 2 % of the
+/// packets are lost, others overtake each other, while a balancer restarts and a host drains.
+#[test]
+fn verify_lossy_links_break_no_flow() {
+    let outcome = run("lossy", &Load::default(), |installation| {
+        installation.set_links(Links {
+            loss_ppm: 20_000,
+            delay_ms: 3,
+            jitter_ms: 4,
+        })?;
+        installation.restart_balancer(0)?;
+        installation.agent(0, 0)?.signal(Signal::SIGTERM)
+    });
+    assert!(outcome.is_clean(), "{outcome:?}");
+}
+
+/// Guards against a data path that needs the store: it answers nothing while processes join.
+#[test]
+fn verify_store_outage_breaks_no_flow() {
+    let outcome = run("store-down", &Load::default(), |installation| {
+        installation.agent(0, 0)?.signal(Signal::SIGTERM)?;
+        installation.set_store_faults(Faults {
+            down: true,
+            ..Faults::default()
+        })
+    });
+    assert!(outcome.is_clean(), "{outcome:?}");
+}
+
 /// Guards against a process that fails on foreign bytes at any of its ports.
 #[test]
 fn verify_garbage_on_every_port_changes_nothing() {
