coordination: operator change logic with a racing-operators proof

Cause: two operators can race on one object, and the answer to a write can be lost before or after the write took effect.

Change: changes::ChangeMachine reads, checks schema, claims and danger, and writes under the version that was read. Each write records the version and operation that it replaces (superseded_operations, 32 entries), so a lost answer can be judged after others have written since: done, not done, or unknown. A lost write is repeated only on the same non-zero version; a creation is never repeated, because after a deletion the store would accept the first one again.

--- /dev/null
+++ b/crates/coordination/src/changes/verdict.rs
@@ -0,0 +1,87 @@
+//! Tells from the record of an object whether a write whose answer was lost took effect.
+
+use {
+    cardamomloom_core::{ObjectVersion, OperationId},
+    cardamomloom_protocol::{
+        object::history::{MAX_SUPERSEDED, operation_of, superseded_of},
+        store_api::Object,
+    },
+};
+
+/// What is known of a write on a version of an object.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// The write took effect; the version is known while it is the present one.
+    Done(Option<ObjectVersion>),
+    /// The write did not take effect and never can.
+    NotDone,
+    /// The write has not taken effect so far, and still may.
+    Pending,
+    /// The object was deleted, or the record no longer reaches back to the write.
+    Unknowable,
+}
+
+/// Judges the write of `operation` on version `base`; version 0 is the creation of the object.
+#[must_use]
+pub fn judge_write(
+    present: Option<&Object>,
+    base: ObjectVersion,
+    operation: OperationId,
+) -> Verdict {
+    let live = present.and_then(|object| Some((object.version, object.value.as_ref()?)));
+    let Some((version, value)) = live else {
+        return if base == ObjectVersion(0) {
+            Verdict::Pending
+        } else {
+            Verdict::Unknowable
+        };
+    };
+    if operation_of(value) == operation {
+        return Verdict::Done(Some(version));
+    }
+    if version == base {
+        return Verdict::Pending;
+    }
+    let superseded = superseded_of(value);
+    if superseded
+        .iter()
+        .any(|entry| entry.operation_id == operation)
+    {
+        return Verdict::Done(None);
+    }
+    // The store accepts one write on each version. The record shows that it was another one.
+    // A creation is different: the object may have been deleted and created again in between.
+    let is_superseded = superseded.iter().any(|entry| entry.version == base);
+    if is_superseded && base != ObjectVersion(0) {
+        return Verdict::NotDone;
+    }
+    Verdict::Unknowable
+}
+
+/// Judges the deletion of version `base`.
+///
+/// A deletion leaves no record. `Done` therefore means that the object has been deleted since it
+/// had version `base`, by this writer or by one that raced with it.
+#[must_use]
+pub fn judge_deletion(present: Option<&Object>, base: ObjectVersion) -> Verdict {
+    let live = present.and_then(|object| Some((object.version, object.value.as_ref()?)));
+    let Some((version, value)) = live else {
+        return Verdict::Done(None);
+    };
+    if version == base {
+        return Verdict::Pending;
+    }
+    let superseded = superseded_of(value);
+    if superseded.iter().any(|entry| entry.version == base) {
+        return Verdict::NotDone;
+    }
+    let is_complete = superseded.len() < MAX_SUPERSEDED
+        && superseded
+            .last()
+            .is_some_and(|entry| entry.version == ObjectVersion(0));
+    if is_complete {
+        // The object was created anew after `base`, so it was deleted in between.
+        return Verdict::Done(None);
+    }
+    Verdict::Unknowable
+}
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod admission;
 pub mod agent;
 pub mod balancer;
+pub mod changes;
 pub mod membership;
 pub mod ownership;
 pub mod termination;
--- a/crates/protocol/src/object/mod.rs
+++ b/crates/protocol/src/object/mod.rs
@@ -1,6 +1,7 @@
 //! Schema of the objects that cardamomloom keeps in the platform's store.
 
 mod domain;
+pub mod history;
 mod node;
 mod service;
 
@@ -13,6 +14,7 @@
 use {
     cardamomloom_core::error::{Error, invalid_argument},
     serde::de::DeserializeOwned,
+    std::borrow::Cow,
 };
 
 /// Result of checking an object.
@@ -41,7 +43,13 @@
 ///
 /// Fails with kind `invalid_argument` when a field is missing, unknown or out of range.
 pub fn decode<T: DeserializeOwned + Checked>(key: &str, value: &serde_json::Value) -> Result<T> {
-    let object = T::deserialize(value)
+    let mut value = Cow::Borrowed(value);
+    if value.get(history::SUPERSEDED_FIELD).is_some()
+        && let Some(fields) = value.to_mut().as_object_mut()
+    {
+        fields.remove(history::SUPERSEDED_FIELD);
+    }
+    let object = T::deserialize(value.as_ref())
         .map_err(|error| invalid_argument(format!("object {key:?}: {error}")))?;
     object.check()?;
     Ok(object)
