state: contested claims and invalid objects leave other services alone

Cause: one service that stated an address or id of another one made RoutingTable::rebuild fail, which froze the table of every service. Invalid objects were only logged.

Change: Catalogue::claims gives each id and address to the service whose object has the lower version, which depends on the catalogue alone; the loser is reported in /status ("problems") and in the gauge cardamomloom_claims_not_in_force. A service whose table cannot be built keeps its table. Rejected objects are kept with version and reason and shown as "objects_invalid" and in the gauge cardamomloom_objects_invalid. An agent whose service lost its id keeps its last valid state. Agents report the versions in force.

--- a/crates/daemon/src/agent/control.rs
+++ b/crates/daemon/src/agent/control.rs
@@ -178,6 +178,10 @@
             warn!(event = "service_unknown", service:% = self.options.service; "the catalogue has no such service");
             return;
         };
+        if !self.catalogue.claims().has_id(&spec) {
+            warn!(event = "claim_not_in_force", service:% = spec.name; "another service has id {}; the last valid state stays", spec.id);
+            return;
+        }
         let addresses = spec
             .addresses
             .iter()
@@ -295,6 +299,12 @@
             "table": self.table.to_string(),
             "open_flows": self.open_flows,
             "domain_out": self.domain_out,
+            "objects": self
+                .catalogue
+                .versions()
+                .map(|(key, version)| json!({"key": key, "version": version}))
+                .collect::<Vec<_>>(),
+            "objects_invalid": self.catalogue.rejected().collect::<Vec<_>>(),
             "stopping": format!("{:?}", self.stopping),
         }));
     }
--- a/crates/daemon/src/balancer/control.rs
+++ b/crates/daemon/src/balancer/control.rs
@@ -105,6 +105,8 @@
             }
         }
         self.services_listed = true;
+        metrics::gauge!("cardamomloom_objects_invalid")
+            .set(self.catalogue.rejected().count() as f64);
         if changed {
             self.rebuild();
         }
@@ -120,7 +122,16 @@
     fn rebuild(&mut self) {
         let present = self.options.routing.load_full();
         match present.rebuild(&self.catalogue, self.membership.hosts()) {
-            Ok(next) => self.options.routing.store(Arc::new(next)),
+            Ok(next) => {
+                if next.problems() != present.problems() {
+                    for problem in next.problems() {
+                        warn!(event = "claim_not_in_force"; "{problem}");
+                    }
+                    metrics::gauge!("cardamomloom_claims_not_in_force")
+                        .set(next.problems().len() as f64);
+                }
+                self.options.routing.store(Arc::new(next));
+            }
             Err(error) => warn!(event = "routing_rejected"; "{error}"),
         }
     }
@@ -143,6 +154,9 @@
             "node": self.options.node.to_string(),
             "stopping": self.stopping,
             "objects": versions,
+            "objects_invalid": self.catalogue.rejected().collect::<Vec<_>>(),
+            "problems": self.options.routing.load().problems(),
+            "domains_out": self.catalogue.domains_out(),
             "hosts": hosts,
         }));
     }
--- a/crates/state/src/catalogue/mod.rs
+++ b/crates/state/src/catalogue/mod.rs
@@ -1,5 +1,9 @@
 //! The catalogue in force: the newest valid version of each object that this process has seen.
 
+mod claims;
+
+pub use claims::{Claims, LostClaim};
+
 use {
     cardamomloom_core::{
         DomainName, ObjectVersion, ServiceId, ServiceName,
@@ -9,6 +13,7 @@
         object::{self, DOMAINS_PREFIX, DomainSpec, DomainState, SERVICES_PREFIX, ServiceSpec},
         store_api::Object,
     },
+    serde::Serialize,
     std::{collections::BTreeMap, sync::Arc},
 };
 
@@ -28,7 +33,7 @@
 
 #[derive(Clone, Debug)]
 struct Versioned<T> {
-    /// Newest version seen, valid or not, so that an older one is never taken up again.
+    /// Version in force; a later object is taken up only with a higher one.
     version: ObjectVersion,
     value: Option<Arc<T>>,
 }
@@ -38,16 +43,78 @@
 pub struct Catalogue {
     services: BTreeMap<ServiceName, Versioned<ServiceSpec>>,
     domains: BTreeMap<DomainName, Versioned<DomainSpec>>,
+    rejected: BTreeMap<Arc<str>, Rejected>,
+}
+
+/// An object of the store that is not in force because it does not satisfy the schema.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Rejected {
+    /// Key of the object.
+    pub key: Arc<str>,
+    /// Version of the object; the version in force is lower.
+    pub version: ObjectVersion,
+    /// Field, value and allowed range.
+    pub reason: Arc<str>,
 }
 
+/// Most rejected objects that are kept for the report.
+const MAX_REJECTED: usize = 256;
+
 impl Catalogue {
     /// Takes up an object unless a version at least as new is in force.
     ///
     /// # Errors
     ///
     /// Fails with kind `invalid_argument` when the value does not satisfy the schema or its name
-    /// differs from its key; the version in force stays.
+    /// differs from its key; the version in force stays. The same version fails only once.
     pub fn apply(&mut self, object: &Object) -> Result<Applied> {
+        let known = self.rejected.get(&object.key);
+        if known.is_some_and(|known| known.version == object.version) {
+            return Ok(Applied::Stale);
+        }
+        let applied = self.take_up(object);
+        match &applied {
+            Ok(Applied::Changed) => {
+                let known = self.rejected.get(&object.key);
+                if known.is_some_and(|known| known.version < object.version) {
+                    self.rejected.remove(&object.key);
+                }
+            }
+            Ok(Applied::Stale | Applied::OtherKind) => {}
+            Err(error) => self.reject(object, error),
+        }
+        applied
+    }
+
+    fn reject(&mut self, object: &Object, error: &Error) {
+        let known = self.rejected.get(&object.key);
+        let is_newest = known.is_none_or(|known| known.version < object.version);
+        if is_newest && (known.is_some() || self.rejected.len() < MAX_REJECTED) {
+            let rejected = Rejected {
+                key: object.key.clone(),
+                version: object.version,
+                reason: error.message.clone(),
+            };
+            self.rejected.insert(object.key.clone(), rejected);
+        }
+    }
+
+    /// Returns the objects that are not in force because they are invalid, in key order.
+    pub fn rejected(&self) -> impl Iterator<Item = &Rejected> {
+        self.rejected.values()
+    }
+
+    /// Returns which service has each id and address.
+    #[must_use]
+    pub fn claims(&self) -> Claims {
+        Claims::of(
+            self.services
+                .values()
+                .filter_map(|entry| Some((entry.version, entry.value.as_ref()?))),
+        )
+    }
+
+    fn take_up(&mut self, object: &Object) -> Result<Applied> {
         if let Some(name) = object.key.strip_prefix(SERVICES_PREFIX) {
             let name: ServiceName = name.parse()?;
             return merge(&mut self.services, name, object, |spec: &ServiceSpec| {
@@ -98,6 +165,15 @@
             .is_some_and(|spec| spec.state == DomainState::Out)
     }
 
+    /// Returns the failure domains that operators have taken out.
+    #[must_use]
+    pub fn domains_out(&self) -> Vec<DomainName> {
+        self.domains()
+            .filter(|spec| spec.state == DomainState::Out)
+            .map(|spec| spec.name.clone())
+            .collect()
+    }
+
     /// Returns key and version of every object seen, deletions included.
     pub fn versions(&self) -> impl Iterator<Item = (String, ObjectVersion)> {
         let services = self
--- a/crates/state/src/routing/mod.rs
+++ b/crates/state/src/routing/mod.rs
@@ -3,13 +3,10 @@
 use {
     crate::{
         candidates::{Candidate, CandidateTable},
-        catalogue::Catalogue,
+        catalogue::{Catalogue, LostClaim},
         hosts::HostTable,
     },
-    cardamomloom_core::{
-        ServiceId, TableVersion,
-        error::{Error, ErrorKind},
-    },
+    cardamomloom_core::{ServiceId, ServiceName, TableVersion, error::Error},
     cardamomloom_protocol::{control::HostState, object::ServiceSpec},
     std::{collections::HashMap, net::SocketAddr, sync::Arc},
 };
@@ -22,6 +19,8 @@
 pub struct RoutingTable {
     by_address: HashMap<SocketAddr, Arc<CandidateTable>>,
     by_service: HashMap<ServiceId, Arc<CandidateTable>>,
+    names: HashMap<ServiceId, ServiceName>,
+    problems: Vec<Arc<str>>,
 }
 
 impl RoutingTable {
@@ -44,31 +43,50 @@
             .map(|(service, table)| (*service, table.version()))
     }
 
+    /// Returns the name of a service.
+    #[must_use]
+    pub fn name(&self, service: ServiceId) -> Option<&ServiceName> {
+        self.names.get(&service)
+    }
+
+    /// Returns what could not be put in force, one sentence each.
+    #[must_use]
+    pub fn problems(&self) -> &[Arc<str>] {
+        &self.problems
+    }
+
     /// Builds the next routing table; tables of services whose inputs did not change are shared
     /// with `self`.
     ///
+    /// A service that claims what another one has, or whose table cannot be built, does not stop
+    /// the update of others: the claim stays with its holder, and the service keeps its table.
+    ///
     /// # Errors
     ///
-    /// Fails with kind `conflict` when two services claim one address and port, or share an id.
+    /// Never fails at present; the result allows for a change that would stop the whole update.
     pub fn rebuild(&self, catalogue: &Catalogue, hosts: &HostTable) -> Result<Self> {
         let mut next = Self::default();
-        for spec in catalogue.services() {
-            let table = self.service_table(spec, catalogue, hosts)?;
-            if next.by_service.insert(spec.id, table.clone()).is_some() {
-                return Err(conflict(format!(
-                    "routing: service {} shares its id {} with another service",
-                    spec.name, spec.id
-                )));
-            }
+        let claims = catalogue.claims();
+        next.problems = claims.lost().iter().map(describe).collect();
+        for spec in catalogue.services().filter(|spec| claims.has_id(spec)) {
+            let table = match self.service_table(spec, catalogue, hosts) {
+                Ok(table) => table,
+                Err(error) => {
+                    next.problems.push(error.message);
+                    match self.by_service.get(&spec.id) {
+                        Some(present) => present.clone(),
+                        None => continue,
+                    }
+                }
+            };
             for address in &spec.addresses {
                 let address = SocketAddr::new(*address, spec.port);
-                if next.by_address.insert(address, table.clone()).is_some() {
-                    return Err(conflict(format!(
-                        "routing: service {} claims {address}, which another service has",
-                        spec.name
-                    )));
+                if claims.has_address(spec, &address) {
+                    next.by_address.insert(address, table.clone());
                 }
             }
+            next.names.insert(spec.id, spec.name.clone());
+            next.by_service.insert(spec.id, table);
         }
         Ok(next)
     }
@@ -105,6 +123,9 @@
         .collect()
 }
 
-fn conflict(message: String) -> Error {
-    Error::new(ErrorKind::Conflict, message)
+fn describe(lost: &LostClaim) -> Arc<str> {
+    Arc::from(format!(
+        "routing: service {} states {}, which service {} has",
+        lost.service, lost.claim, lost.holder
+    ))
 }
