Number control datagrams and reject replays

Cause: a control datagram that was recorded could be sent again at any time; nothing distinguished it from a new one. Change: each datagram carries an origin (sender, incarnation, sequence number) under its tag. The message types of the epidemic dissemination are defined; nothing sends them yet.

--- a/crates/daemon/src/agent/mod.rs
+++ b/crates/daemon/src/agent/mod.rs
@@ -33,9 +33,7 @@
 ///
 /// Fails when a thread cannot be started.
 pub fn run(settings: &Settings, agent: &AgentSettings, shell: Shell) -> Result<()> {
-    let host = agent
-        .host_id
-        .unwrap_or_else(|| host_id(shell.control_address));
+    let host = host_id(agent, shell.control_address);
     let loop_options = PacketLoopOptions {
         host,
         key: settings.datagram_key(),
@@ -81,9 +79,13 @@
     Ok(())
 }
 
-/// Derives the identity from the control address, so that a restart on the same address keeps
-/// its place in candidate tables.
-fn host_id(control_address: SocketAddr) -> HostId {
+/// Returns the identity from the settings, or else derives it from the control address, so that a
+/// restart on the same address keeps its place in candidate tables.
+#[must_use]
+pub fn host_id(agent: &AgentSettings, control_address: SocketAddr) -> HostId {
+    if let Some(host) = agent.host_id {
+        return host;
+    }
     let mut hasher = SipHasher13::new();
     control_address.hash(&mut hasher);
     HostId(u32::try_from(hasher.finish() >> 32).unwrap_or_default())
--- a/crates/daemon/src/balancer/control.rs
+++ b/crates/daemon/src/balancer/control.rs
@@ -68,7 +68,7 @@
     pub fn on_event(&mut self, cx: CX![], event: Event) {
         match event {
             Event::Objects(list) => self.on_objects(&list),
-            Event::Datagram { from, message } => {
+            Event::Datagram { from, message, .. } => {
                 let now = self.options.clock.now();
                 let routing = self.options.routing.load_full();
                 let answers = self.membership.on_message(now, from, message, |entry| {
--- a/crates/daemon/src/balancer/mod.rs
+++ b/crates/daemon/src/balancer/mod.rs
@@ -86,7 +86,8 @@
 }
 
 /// Derives the identity from the control address, so that a restart on the same address keeps it.
-fn node_id(control_address: SocketAddr) -> NodeId {
+#[must_use]
+pub fn node_id(control_address: SocketAddr) -> NodeId {
     let mut hasher = SipHasher13::new();
     control_address.hash(&mut hasher);
     NodeId(hasher.finish())
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -1,9 +1,12 @@
 //! The control thread: runs `stakker` actors on events from sockets and the store.
 
 use {
-    cardamomloom_core::error::{Error, io},
+    cardamomloom_core::{
+        Incarnation,
+        error::{Error, io},
+    },
     cardamomloom_protocol::{
-        control::{self, Message},
+        control::{self, Message, Origin, ReplayGuard},
         forward::DatagramKey,
         store_api::ObjectList,
     },
@@ -14,7 +17,7 @@
         net::{SocketAddr, UdpSocket},
         sync::{
             Arc,
-            atomic::{AtomicBool, Ordering},
+            atomic::{AtomicBool, AtomicU64, Ordering},
             mpsc::{Receiver, RecvTimeoutError, SyncSender},
         },
         thread,
@@ -40,8 +43,10 @@
     Objects(ObjectList),
     /// A control datagram arrived.
     Datagram {
-        /// Its sender.
+        /// Address of its sender.
         from: SocketAddr,
+        /// Identity of its sender: the number of its node id or host id.
+        sender: u64,
         /// Its message.
         message: Message,
     },
@@ -73,18 +78,37 @@
 pub struct ControlSender {
     socket: Arc<UdpSocket>,
     key: DatagramKey,
+    sender: u64,
+    incarnation: Incarnation,
+    sequence: Arc<AtomicU64>,
 }
 
 impl ControlSender {
-    /// Creates a sender on the control socket.
+    /// Creates a sender on the control socket; `sender` is the number of the node id or host id.
     #[must_use]
-    pub const fn new(socket: Arc<UdpSocket>, key: DatagramKey) -> Self {
-        Self { socket, key }
+    pub fn new(
+        socket: Arc<UdpSocket>,
+        key: DatagramKey,
+        sender: u64,
+        incarnation: Incarnation,
+    ) -> Self {
+        Self {
+            socket,
+            key,
+            sender,
+            incarnation,
+            sequence: Arc::default(),
+        }
     }
 
     /// Sends a message; a lost one is repeated by its protocol.
     pub fn send(&self, to: SocketAddr, message: &Message) {
-        match control::encode(self.key, message) {
+        let origin = Origin {
+            sender: self.sender,
+            incarnation: self.incarnation,
+            sequence: self.sequence.fetch_add(1, Ordering::Relaxed) + 1,
+        };
+        match control::encode(self.key, &origin, message) {
             Ok(datagram) => {
                 if let Err(error) = self.socket.send_to(&datagram, to) {
                     debug!(event = "control_send_failed", to:%; "control message not sent: {error}");
@@ -116,6 +140,8 @@
 fn receive(socket: &UdpSocket, key: DatagramKey, events: &SyncSender<Event>, stop: &AtomicBool) {
     let rejected = metrics::counter!("cardamomloom_control_rejected_total");
     let overflow = metrics::counter!("cardamomloom_control_overflow_total");
+    let replayed = metrics::counter!("cardamomloom_control_replayed_total");
+    let mut replays = ReplayGuard::default();
     let mut batch = ReceiveBatch::default();
     while !stop.load(Ordering::Relaxed) {
         if let Err(error) = batch.receive(socket, Wait::ForOne) {
@@ -123,11 +149,20 @@
         }
         for (datagram, source) in batch.datagrams() {
             let Some(from) = source else { continue };
-            let Ok(message) = control::decode(key, datagram) else {
+            let Ok((origin, message)) = control::decode(key, datagram) else {
                 rejected.increment(1);
                 continue;
             };
-            if events.try_send(Event::Datagram { from, message }).is_err() {
+            if !replays.accept(&origin) {
+                replayed.increment(1);
+                continue;
+            }
+            let event = Event::Datagram {
+                from,
+                sender: origin.sender,
+                message,
+            };
+            if events.try_send(event).is_err() {
                 overflow.increment(1);
             }
         }
--- a/crates/daemon/src/runtime/mod.rs
+++ b/crates/daemon/src/runtime/mod.rs
@@ -110,11 +110,17 @@
         let http_address = listener.local_addr().map_err(address_error)?;
         let data_address = data_socket.local_addr().map_err(address_error)?;
         let control_address = control_socket.local_addr().map_err(address_error)?;
+        let sender = match &settings.role {
+            Role::Balancer(_) => balancer::node_id(control_address).0,
+            Role::Agent(agent) => u64::from(agent::host_id(agent, control_address).0),
+        };
+        let incarnation = incarnation_now()?;
+        let key = settings.datagram_key();
         let (event_sender, events) = sync_channel(control::EVENT_QUEUE);
         let stop = Arc::new(AtomicBool::new(false));
         control::spawn_receiver(
             control_socket.clone(),
-            settings.datagram_key(),
+            key,
             event_sender.clone(),
             stop.clone(),
         )?;
@@ -138,14 +144,14 @@
             data_address,
             control_address,
             http_address,
-            control: ControlSender::new(control_socket, settings.datagram_key()),
+            control: ControlSender::new(control_socket, key, sender, incarnation),
             events,
             event_sender,
             inspect,
             store,
             runtime,
             stop,
-            incarnation: incarnation_now()?,
+            incarnation,
         })
     }
 }
--- a/crates/protocol/src/control/mod.rs
+++ b/crates/protocol/src/control/mod.rs
@@ -1,11 +1,21 @@
 //! Control datagrams between the processes of one installation.
 //!
-//! A datagram is the postcard encoding of a [`Message`] followed by an 8-byte SipHash-2-4 tag.
+//! A datagram is the postcard encoding of an [`Origin`] and a [`Message`], followed by an 8-byte
+//! SipHash-2-4 tag over both.
+
+mod gossip;
+mod replay;
+
+pub use {
+    gossip::{Gossip, Heartbeat, ItemRank, Kind, Mark, Subject, WireObject},
+    replay::{MAX_SENDERS, ReplayGuard},
+};
 
 use {
     crate::{forward::DatagramKey, packet::FlowKey},
     cardamomloom_core::{
-        BucketId, DomainName, HostId, Incarnation, NodeId, ServiceId, TableVersion, Weight,
+        BucketId, DomainName, HostId, Incarnation, NodeId, ServiceId, ServiceName, TableVersion,
+        Weight,
         error::{Error, ErrorKind, malformed},
     },
     serde::{Deserialize, Serialize},
@@ -19,8 +29,22 @@
 /// Largest control datagram in bytes, so that it fits an Ethernet frame with its headers.
 pub const MAX_DATAGRAM_BYTES: usize = 1_400;
 
+/// Bytes of the IPv4 and UDP headers of a datagram, which count towards the control budget.
+pub const HEADER_BYTES: usize = 28;
+
 const TAG_BYTES: usize = 8;
 
+/// Who sent a datagram, and which of its datagrams this is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Origin {
+    /// Identity of the sending process: the number of its node id or host id.
+    pub sender: u64,
+    /// Life of the sending process.
+    pub incarnation: Incarnation,
+    /// Number of the datagram within this life.
+    pub sequence: u64,
+}
+
 /// State of a host, in the order in which one incarnation passes through them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum HostState {
@@ -106,6 +130,67 @@
         /// The confirmed part.
         part: u32,
     },
+    /// An agent tells a balancer that it is alive.
+    Heartbeat(Heartbeat),
+    /// An agent without configuration asks for the objects of its service.
+    ConfigRequest {
+        /// Service of the agent.
+        service: ServiceName,
+    },
+    /// A balancer tells an agent which balancers it is to announce its host to.
+    Assignment {
+        /// Control sockets of the balancers.
+        balancers: Vec<SocketAddr>,
+    },
+    /// A balancer tells an agent its digests, which the agent compares with its own.
+    HeartbeatAnswer {
+        /// Digest of the hosts of the agent's service.
+        hosts_digest: u32,
+        /// Digest of the service's object, all failure domains and their marks.
+        config_digest: u32,
+    },
+    /// Changes and digests.
+    Gossip(Gossip),
+    /// Digests of the groups of one kind; groups that differ are answered with `Versions`.
+    Groups {
+        /// Kind of the items.
+        kind: Kind,
+        /// Digest of each group.
+        digests: Vec<u32>,
+    },
+    /// Identity and rank of all items of a group.
+    Versions {
+        /// Kind of the items.
+        kind: Kind,
+        /// Index of the group.
+        group: u8,
+        /// The items.
+        items: Vec<ItemRank>,
+        /// Whether the receiver is asked for its own list in return.
+        wants_answer: bool,
+    },
+    /// Asks for items.
+    Want {
+        /// Kind of the items.
+        kind: Kind,
+        /// Identities of the items.
+        ids: Vec<u64>,
+    },
+    /// Objects of the store.
+    Objects(Vec<WireObject>),
+    /// Marks of lost balancers and failure domains.
+    Marks(Vec<Mark>),
+    /// A balancer found a subject silent and asks another to check it too.
+    Suspect {
+        /// The silent subject.
+        subject: Subject,
+        /// Incarnation of the host, or counter of the mark.
+        claim: u64,
+    },
+    /// Asks for a sign of life.
+    Probe,
+    /// Answers a probe.
+    ProbeAnswer,
 }
 
 /// Returns the datagram for a message.
@@ -113,8 +198,8 @@
 /// # Errors
 ///
 /// Fails with kind `limit_exceeded` when the datagram is larger than [`MAX_DATAGRAM_BYTES`].
-pub fn encode(key: DatagramKey, message: &Message) -> Result<Vec<u8>> {
-    let mut datagram = postcard::to_stdvec(message)
+pub fn encode(key: DatagramKey, origin: &Origin, message: &Message) -> Result<Vec<u8>> {
+    let mut datagram = postcard::to_stdvec(&(origin, message))
         .map_err(|error| malformed(format!("control: message cannot be encoded: {error}")))?;
     if datagram.len() + TAG_BYTES > MAX_DATAGRAM_BYTES {
         return Err(Error::new(
@@ -130,13 +215,22 @@
     Ok(datagram)
 }
 
-/// Returns the message of a datagram.
+/// Returns the size of the datagram for a message with its IP and UDP headers, in bytes.
+#[must_use]
+pub fn wire_bytes(origin: &Origin, message: &Message) -> u64 {
+    let body = postcard::experimental::serialized_size(&(origin, message)).unwrap_or_default();
+    (body + TAG_BYTES + HEADER_BYTES) as u64
+}
+
+/// Returns origin and message of a datagram.
+///
+/// The caller rejects replays with a [`ReplayGuard`].
 ///
 /// # Errors
 ///
 /// Fails with kind `unauthorized` when the tag does not match, and with `malformed` when the
 /// datagram is short, too long or cannot be decoded.
-pub fn decode(key: DatagramKey, datagram: &[u8]) -> Result<Message> {
+pub fn decode(key: DatagramKey, datagram: &[u8]) -> Result<(Origin, Message)> {
     if datagram.len() > MAX_DATAGRAM_BYTES {
         return Err(malformed("control: datagram is larger than the limit"));
     }
@@ -149,10 +243,10 @@
             "control: authentication tag does not match",
         ));
     }
-    let (message, rest) = postcard::take_from_bytes(body)
+    let (decoded, rest) = postcard::take_from_bytes(body)
         .map_err(|error| malformed(format!("control: datagram cannot be decoded: {error}")))?;
     if rest.is_empty() {
-        Ok(message)
+        Ok(decoded)
     } else {
         Err(malformed("control: datagram has trailing bytes"))
     }
--- a/crates/protocol/tests/codecs.rs
+++ b/crates/protocol/tests/codecs.rs
@@ -5,7 +5,7 @@
         BucketId, DomainName, HostId, Incarnation, ServiceId, TableVersion, Weight,
     },
     cardamomloom_protocol::{
-        control::{self, HostEntry, HostState, Message},
+        control::{self, HostEntry, HostState, Message, Origin},
         forward::{DatagramKey, ForwardHeader, Visited},
         gue, packet,
     },
@@ -87,8 +87,13 @@
         entry: entry(),
         table: TableVersion(4),
     };
-    let datagram = control::encode(KEY, &message).expect("fits a datagram");
-    assert_eq!(control::decode(KEY, &datagram), Ok(message));
+    let origin = Origin {
+        sender: 7,
+        incarnation: Incarnation(5),
+        sequence: 3,
+    };
+    let datagram = control::encode(KEY, &origin, &message).expect("fits a datagram");
+    assert_eq!(control::decode(KEY, &datagram), Ok((origin, message)));
 }
 
 /// Guards against fragments and other protocols being taken for TCP.
