bench: table experiment and fitted slopes

The cost of candidate tables was not measured. The experiment gives build time, update time after one change and memory against hosts, buckets and whole systems, with a fitted slope for each, and counts heap bytes exactly.

--- a/crates/bench/src/experiment/mod.rs
+++ b/crates/bench/src/experiment/mod.rs
@@ -1,6 +1,9 @@
 //! What an experiment is, and the registry of all experiments.
 
+mod fixture;
 mod lookup;
+mod memory;
+mod table;
 
 use {crate::report::Report, cardamomloom_core::error::Error, std::path::PathBuf};
 
@@ -37,5 +40,5 @@
 /// Returns all experiments.
 #[must_use]
 pub fn registry() -> Vec<Box<dyn Experiment>> {
-    vec![Box::new(lookup::Lookup)]
+    vec![Box::new(lookup::Lookup), Box::new(table::Table)]
 }
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -6,9 +6,14 @@
 use {
     experiment::{Experiment, Result, RunOptions, registry},
     gumdrop::Options,
-    std::process::ExitCode,
+    stats_alloc::{INSTRUMENTED_SYSTEM, StatsAlloc},
+    std::{alloc::System, process::ExitCode},
 };
 
+/// Counts bytes and calls, so that experiments report memory exactly.
+#[global_allocator]
+static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
+
 /// Runs experiments and prints one JSON object or a table each.
 #[derive(Debug, Options)]
 struct Arguments {
--- a/crates/bench/src/report/mod.rs
+++ b/crates/bench/src/report/mod.rs
@@ -1,8 +1,12 @@
 //! Report of an experiment, as one JSON object or as a table.
 
 mod plot;
+mod slope;
 
-pub use plot::{Axes, Series, line_plot};
+pub use {
+    plot::{Axes, Series, line_plot},
+    slope::Line,
+};
 
 use {
     crate::experiment::RunOptions,
@@ -14,13 +18,14 @@
 /// Result of writing a report.
 pub type Result<T> = std::result::Result<T, Error>;
 
-/// Rows of an experiment; each row is a JSON object with the same fields.
+/// Rows of an experiment; each row is a JSON object. Rows with the same fields form a table.
 #[derive(Clone, Debug)]
 pub struct Report {
     experiment: &'static str,
     seed: u64,
     quick: bool,
     rows: Vec<Value>,
+    slopes: Vec<Value>,
     plot: Option<String>,
 }
 
@@ -33,6 +38,7 @@
             seed: options.seed,
             quick: options.quick,
             rows: Vec::new(),
+            slopes: Vec::new(),
             plot: None,
         }
     }
@@ -42,6 +48,15 @@
         self.rows.push(row);
     }
 
+    /// Adds the line fitted through points of (size, quantity); names carry their units.
+    pub fn slope(&mut self, quantity: &str, size: &str, points: &[(f64, f64)]) {
+        let line = Line::fit(points);
+        self.slopes.push(json!({
+            "quantity": quantity, "size": size, "points": points.len(),
+            "slope": line.slope, "intercept": line.intercept,
+        }));
+    }
+
     /// Sets the plot, an SVG document.
     pub fn set_plot(&mut self, svg: String) {
         self.plot = Some(svg);
@@ -70,6 +85,7 @@
                 "seed": self.seed,
                 "quick": self.quick,
                 "rows": self.rows,
+                "slopes": self.slopes,
             });
             println!("{object}");
             return;
@@ -79,13 +95,24 @@
     }
 
     fn print_table(&self) {
-        let Some(Value::Object(first)) = self.rows.first() else {
-            return;
-        };
-        let names: Vec<&String> = first.keys().collect();
-        print_line(names.iter().map(|name| (*name).clone()));
-        for row in &self.rows {
-            print_line(names.iter().map(|name| cell(&row[*name])));
+        let mut present: Vec<&String> = Vec::new();
+        for row in self.rows.iter().filter_map(Value::as_object) {
+            let names: Vec<&String> = row.keys().collect();
+            if names != present {
+                print_line(names.iter().map(|name| (*name).clone()));
+                present = names;
+            }
+            print_line(row.values().map(cell));
+        }
+        for line in &self.slopes {
+            println!(
+                "slope: {} = {:.4} + {:.6} * {} ({} points)",
+                cell(&line["quantity"]),
+                line["intercept"].as_f64().unwrap_or_default(),
+                line["slope"].as_f64().unwrap_or_default(),
+                cell(&line["size"]),
+                line["points"],
+            );
         }
     }
 }
--- a/crates/state/src/candidates/mod.rs
+++ b/crates/state/src/candidates/mod.rs
@@ -85,9 +85,23 @@
     /// Fails with kind `invalid_argument` when the service has more than
     /// [`MAX_HOSTS_PER_SERVICE`] hosts.
     pub fn build(
+        service: ServiceId,
+        hash_key: [u8; 16],
+        candidates: Vec<Candidate>,
+    ) -> Result<Self> {
+        Self::with_buckets(service, hash_key, candidates, BUCKETS_PER_SERVICE)
+    }
+
+    /// Builds a table with another number of buckets, used to measure how cost grows with it.
+    ///
+    /// # Errors
+    ///
+    /// As [`CandidateTable::build`].
+    pub fn with_buckets(
         service: ServiceId,
         hash_key: [u8; 16],
         mut candidates: Vec<Candidate>,
+        buckets: u32,
     ) -> Result<Self> {
         if candidates.len() > MAX_HOSTS_PER_SERVICE {
             return Err(invalid_argument(format!(
@@ -98,9 +112,7 @@
         candidates.sort_by_key(|candidate| candidate.host);
         let version = digest(service, hash_key, &candidates);
         let ranking = score::Ranking::new(&candidates);
-        let buckets = (0..BUCKETS_PER_SERVICE)
-            .map(|bucket| ranking.best(bucket))
-            .collect();
+        let buckets = (0..buckets).map(|bucket| ranking.best(bucket)).collect();
         Ok(Self {
             service,
             version,
