state: update candidate tables incrementally

The ranking of a bucket is now a fold over single insertions whose outcome depends only on the hosts that the bucket holds. An update ranks in full only buckets that hold a removed host and inserts added hosts into the others; a change of readiness shares the buckets. Hosts of equal score are ordered by their hash, so equal weights need no logarithm in any mixture, and a lower bound of the logarithm skips most hosts when weights differ.

The property test compares each update with a full build. It fails when added hosts are ignored, when removed hosts are kept, and when the last position ignores failure domains.

--- a/crates/bench/src/experiment/table.rs
+++ b/crates/bench/src/experiment/table.rs
@@ -90,6 +90,7 @@
     for unequal in [false, true] {
         let weights = if unequal { "unequal" } else { "equal" };
         let mut builds = Vec::new();
+        let mut sizes = Vec::new();
         let mut updates = vec![Vec::new(); CHANGES.len()];
         for hosts in HOSTS {
             let mut before = candidates(hosts)?;
@@ -109,14 +110,16 @@
             for ((name, change), points) in CHANGES.iter().zip(&mut updates) {
                 let mut after = before.clone();
                 change(&mut after);
-                let time_ms = median_ms(rounds, || update(&table, after.clone()))?;
+                let time_ms = median_ms(rounds, || table.update(HASH_KEY, after.clone()))?;
                 row[format!("{name}_ms")] = json!(time_ms);
                 points.push((f64::from(hosts), time_ms));
             }
+            sizes.push((f64::from(hosts), table_bytes));
             builds.push((f64::from(hosts), build_ms));
             report.row(row);
         }
         report.slope(&format!("build_ms ({weights} weights)"), "hosts", &builds);
+        report.slope("table_bytes", "hosts", &sizes);
         for ((name, _), points) in CHANGES.iter().zip(&updates) {
             report.slope(&format!("{name}_ms ({weights} weights)"), "hosts", points);
         }
@@ -139,11 +142,6 @@
     }
 }
 
-/// Brings a table to other hosts.
-fn update(table: &CandidateTable, hosts: Vec<Candidate>) -> Result<CandidateTable> {
-    CandidateTable::build(table.service(), HASH_KEY, hosts)
-}
-
 fn measure_buckets(report: &mut Report, rounds: usize) -> Result<()> {
     let mut points = Vec::new();
     let hosts = candidates(BUCKET_HOSTS)?;
--- a/crates/state/src/candidates/mod.rs
+++ b/crates/state/src/candidates/mod.rs
@@ -4,7 +4,9 @@
 //! to increase hit rates", 1998): a change of one host moves only buckets that it enters or
 //! leaves. Scores use integers only, so that every process computes the same table.
 
+mod best;
 mod score;
+mod update;
 
 use {
     cardamomloom_core::{
@@ -19,6 +21,7 @@
     std::{
         hash::{Hash, Hasher},
         net::{IpAddr, SocketAddr},
+        sync::Arc,
     },
 };
 
@@ -74,7 +77,8 @@
     version: TableVersion,
     hash_key: [u8; 16],
     candidates: Vec<Candidate>,
-    buckets: Vec<[u16; CANDIDATES_PER_BUCKET]>,
+    /// Shared with the next table when a change leaves every bucket as it is.
+    buckets: Arc<[[u16; CANDIDATES_PER_BUCKET]]>,
 }
 
 impl CandidateTable {
@@ -100,26 +104,51 @@
     pub fn with_buckets(
         service: ServiceId,
         hash_key: [u8; 16],
-        mut candidates: Vec<Candidate>,
+        candidates: Vec<Candidate>,
         buckets: u32,
     ) -> Result<Self> {
-        if candidates.len() > MAX_HOSTS_PER_SERVICE {
-            return Err(invalid_argument(format!(
-                "candidates: service {service} has {} hosts; allowed are {MAX_HOSTS_PER_SERVICE}",
-                candidates.len()
-            )));
-        }
-        candidates.sort_by_key(|candidate| candidate.host);
-        let version = digest(service, hash_key, &candidates);
+        let candidates = checked(service, candidates)?;
         let ranking = score::Ranking::new(&candidates);
-        let buckets = (0..buckets).map(|bucket| ranking.best(bucket)).collect();
-        Ok(Self {
+        let buckets = (0..buckets)
+            .map(|bucket| ranking.best(bucket).indexes())
+            .collect();
+        Ok(Self::from_buckets(service, hash_key, candidates, buckets))
+    }
+
+    /// Builds the next table of the service; equal to [`CandidateTable::build`] with the same
+    /// inputs, at a cost that follows the number of changed hosts.
+    ///
+    /// # Errors
+    ///
+    /// As [`CandidateTable::build`].
+    pub fn update(&self, hash_key: [u8; 16], candidates: Vec<Candidate>) -> Result<Self> {
+        let candidates = checked(self.service, candidates)?;
+        let buckets = if update::ranks_equally(&self.candidates, &candidates) {
+            self.buckets.clone()
+        } else {
+            update::update(&self.candidates, &self.buckets, &candidates).into()
+        };
+        Ok(Self::from_buckets(
+            self.service,
+            hash_key,
+            candidates,
+            buckets,
+        ))
+    }
+
+    fn from_buckets(
+        service: ServiceId,
+        hash_key: [u8; 16],
+        candidates: Vec<Candidate>,
+        buckets: Arc<[[u16; CANDIDATES_PER_BUCKET]]>,
+    ) -> Self {
+        Self {
             service,
-            version,
+            version: digest(service, hash_key, &candidates),
             hash_key,
             candidates,
             buckets,
-        })
+        }
     }
 
     /// Tells whether the table was built from these inputs, with `candidates` in id order.
@@ -188,6 +217,18 @@
     }
 }
 
+/// Checks the number of hosts and puts them in id order.
+fn checked(service: ServiceId, mut candidates: Vec<Candidate>) -> Result<Vec<Candidate>> {
+    if candidates.len() > MAX_HOSTS_PER_SERVICE {
+        return Err(invalid_argument(format!(
+            "candidates: service {service} has {} hosts; allowed are {MAX_HOSTS_PER_SERVICE}",
+            candidates.len()
+        )));
+    }
+    candidates.sort_by_key(|candidate| candidate.host);
+    Ok(candidates)
+}
+
 /// Returns the keyed hash of a flow, so that callers cannot choose their bucket.
 #[must_use]
 pub fn flow_hash(hash_key: [u8; 16], flow: &FlowKey) -> u64 {
--- a/crates/state/src/candidates/score.rs
+++ b/crates/state/src/candidates/score.rs
@@ -1,10 +1,19 @@
 //! Scores of weighted rendezvous hashing in integer arithmetic.
 
-use super::{CANDIDATES_PER_BUCKET, Candidate, EMPTY};
+use super::{
+    Candidate,
+    best::{Best, Scored},
+};
 
 /// Fraction bits of the base-2 logarithm.
 const LOG_FRACTION_BITS: u32 = 20;
 
+/// Bits that a weight is shifted by before the division by a logarithm.
+const WEIGHT_SHIFT: u32 = 40;
+
+/// Largest weight that counts; a larger one would leave the 64 bits of a score.
+const MAX_WEIGHT: u64 = (1 << (64 - WEIGHT_SHIFT)) - 1;
+
 /// Scores hosts for buckets.
 pub struct Ranking {
     hosts: Vec<RankedHost>,
@@ -15,12 +24,6 @@
 struct RankedHost {
     seed: u64,
     weight: u64,
-    domain_index: u16,
-}
-
-#[derive(Clone, Copy)]
-struct Scored {
-    score: u64,
     index: u16,
     domain_index: u16,
 }
@@ -31,11 +34,12 @@
         let mut domains: Vec<&str> = candidates.iter().map(|c| c.domain.as_str()).collect();
         domains.sort_unstable();
         domains.dedup();
-        let hosts = candidates
-            .iter()
-            .map(|candidate| RankedHost {
+        let hosts = (0..)
+            .zip(candidates)
+            .map(|(index, candidate)| RankedHost {
                 seed: mix(u64::from(candidate.host.0)),
-                weight: u64::from(candidate.weight.0),
+                weight: u64::from(candidate.weight.0).min(MAX_WEIGHT),
+                index,
                 domain_index: domains
                     .binary_search(&candidate.domain.as_str())
                     .ok()
@@ -43,92 +47,72 @@
                     .unwrap_or_default(),
             })
             .collect::<Vec<_>>();
-        let equal_weights = hosts
-            .windows(2)
-            .all(|pair| pair[0].weight == pair[1].weight);
+        let mut weights = hosts
+            .iter()
+            .map(|host| host.weight)
+            .filter(|weight| *weight > 0);
+        let first = weights.next();
+        let equal_weights = weights.all(|weight| Some(weight) == first);
         Self {
             hosts,
             equal_weights,
         }
     }
 
-    /// Returns the indexes of the best hosts of a bucket.
-    ///
-    /// When the best hosts all lie in one failure domain, the last position goes to the best
-    /// host of another one, so that the loss of a failure domain leaves a candidate.
-    pub fn best(&self, bucket: u32) -> [u16; CANDIDATES_PER_BUCKET] {
-        let bucket_seed = mix(u64::from(bucket) | 1 << 40);
-        let mut best = [const { None::<Scored> }; CANDIDATES_PER_BUCKET];
-        let mut best_elsewhere: [Option<Scored>; 2] = [None, None];
-        for (index, host) in self.hosts.iter().enumerate() {
-            if host.weight == 0 {
-                continue;
-            }
-            let scored = Scored {
-                score: self.score(host, bucket_seed),
-                index: u16::try_from(index).unwrap_or(EMPTY),
-                domain_index: host.domain_index,
-            };
-            keep_best_of_two_domains(&mut best_elsewhere, scored);
-            insert_sorted(&mut best, scored);
+    /// Returns the best hosts of a bucket.
+    pub fn best(&self, bucket: u32) -> Best {
+        let mut best = Best::default();
+        let seed = bucket_seed(bucket);
+        for host in &self.hosts {
+            self.insert_host(&mut best, seed, host);
         }
-        spread(&mut best, best_elsewhere);
-        best.map(|scored| scored.map_or(EMPTY, |scored| scored.index))
+        best
     }
 
-    fn score(&self, host: &RankedHost, bucket_seed: u64) -> u64 {
-        let hash = mix(host.seed ^ bucket_seed);
-        if self.equal_weights {
-            return hash;
+    /// Returns the best hosts of a bucket in which `kept` were the best of all but `added`.
+    pub fn best_with(&self, bucket: u32, kept: &[u16], added: &[u16]) -> Best {
+        let mut best = Best::default();
+        let seed = bucket_seed(bucket);
+        for index in kept.iter().chain(added) {
+            if let Some(host) = self.hosts.get(usize::from(*index)) {
+                self.insert_host(&mut best, seed, host);
+            }
         }
-        // The score of weighted rendezvous hashing is weight / -ln(u) for u uniform in (0, 1).
-        // The base of the logarithm does not change the order.
-        let log = negative_log2(hash).max(1);
-        (host.weight << 40) / log
+        best
     }
-}
 
-fn insert_sorted(best: &mut [Option<Scored>; CANDIDATES_PER_BUCKET], scored: Scored) {
-    let mut carried = Some(scored);
-    for slot in best {
-        let Some(candidate) = carried else { return };
-        if slot.is_none_or(|present| candidate.score > present.score) {
-            carried = slot.replace(candidate);
+    #[inline]
+    fn insert_host(&self, best: &mut Best, bucket_seed: u64, host: &RankedHost) {
+        if host.weight == 0 {
+            return;
         }
-    }
-}
-
-/// Keeps the best host overall and the best host of any other failure domain.
-fn keep_best_of_two_domains(best: &mut [Option<Scored>; 2], scored: Scored) {
-    let [first, second] = best;
-    match first {
-        Some(present) if scored.score <= present.score => {
-            let differs = scored.domain_index != present.domain_index;
-            if differs && second.is_none_or(|other| scored.score > other.score) {
-                *second = Some(scored);
+        let hash = mix(host.seed ^ bucket_seed);
+        let scored = |score| Scored {
+            score,
+            hash,
+            index: host.index,
+            domain_index: host.domain_index,
+        };
+        if self.equal_weights {
+            if best.rejects_score_below().is_none_or(|least| hash > least) {
+                best.insert(scored(hash));
             }
+            return;
         }
-        Some(present) => {
-            if scored.domain_index != present.domain_index {
-                *second = Some(*present);
-            }
-            *first = Some(scored);
+        let weight = host.weight << WEIGHT_SHIFT;
+        if let Some(least) = best.rejects_score_below()
+            && u128::from(weight) < u128::from(least) * u128::from(least_negative_log2(hash))
+        {
+            return;
         }
-        None => *first = Some(scored),
+        // The score of weighted rendezvous hashing is weight / -ln(u) for u uniform in (0, 1).
+        // The base of the logarithm does not change the order.
+        best.insert(scored(weight / negative_log2(hash).max(1)));
     }
 }
 
-fn spread(best: &mut [Option<Scored>; CANDIDATES_PER_BUCKET], best_elsewhere: [Option<Scored>; 2]) {
-    let (Some(first), Some(elsewhere)) = (best[0], best_elsewhere[1]) else {
-        return;
-    };
-    let in_one_domain = best
-        .iter()
-        .flatten()
-        .all(|scored| scored.domain_index == first.domain_index);
-    if in_one_domain {
-        best[CANDIDATES_PER_BUCKET - 1] = Some(elsewhere);
-    }
+const fn bucket_seed(bucket: u32) -> u64 {
+    mix(bucket as u64 | 1 << 40)
 }
 
 /// Finalizer of `SplitMix64` (Steele, Lea and Flood, 2014): every input bit affects every output bit.
@@ -139,7 +123,15 @@
     value ^ (value >> 31)
 }
 
-/// Returns -log2(hash / 2^64) with [`LOG_FRACTION_BITS`] fraction bits.
+/// Returns a lower bound of [`negative_log2`] without its loop.
+///
+/// -log2(u) is at least (1 - u) / ln 2 for u in (0, 1], and `negative_log2` rounds up.
+const fn least_negative_log2(hash: u64) -> u64 {
+    // 1477 / 1024 is slightly less than 1 / ln 2. The shifts leave LOG_FRACTION_BITS.
+    ((!hash >> 34) * 1_477) >> (30 - LOG_FRACTION_BITS + 10)
+}
+
+/// Returns -log2(hash / 2^64) with [`LOG_FRACTION_BITS`] fraction bits. Never grows with `hash`.
 fn negative_log2(hash: u64) -> u64 {
     let hash = hash.max(1);
     let leading_zeros = hash.leading_zeros();
--- a/crates/state/src/routing/mod.rs
+++ b/crates/state/src/routing/mod.rs
@@ -81,12 +81,11 @@
     ) -> Result<Arc<CandidateTable>> {
         let candidates = candidates_of(spec.id, catalogue, hosts);
         let hash_key = spec.hash_key_bytes();
-        if let Some(present) = self.by_service.get(&spec.id)
-            && present.has_inputs(hash_key, &candidates)
-        {
-            return Ok(present.clone());
+        match self.by_service.get(&spec.id) {
+            Some(present) if present.has_inputs(hash_key, &candidates) => Ok(present.clone()),
+            Some(present) => present.update(hash_key, candidates).map(Arc::new),
+            None => CandidateTable::build(spec.id, hash_key, candidates).map(Arc::new),
         }
-        CandidateTable::build(spec.id, hash_key, candidates).map(Arc::new)
     }
 }
 
