coordination: hand flows over to new first candidates

Cause: a flow whose owner fell out of the four candidates of its bucket was unreachable, and ten seconds after a table change the end of the walk answered its packets with a reset although its owner was alive. An opening packet of a reused 5-tuple left the earlier half-open flow behind with its connection, or was ignored while the earlier one was connecting or in TIME-WAIT. A reset without acknowledgement never reached a half-open flow.

Change: owners tell each first candidate which of their open flows hash to it, in parts that are paced and repeated until confirmed, and again after a table change, a restart of the receiver and every 60 s. A part without flows says "none". Flows opened later are added before their caller gets an answer. The receiver keeps up to two claims per 5-tuple. The end of a walk never resets. A first candidate answers for an unknown flow only with a confirmation of every live agent for its table; it drops the packet at once and resets it after the flow stayed unknown for 10 s and a round of queries then showed that the directory is complete. Opening packets replace connecting, half-open and ended flows of their 5-tuple; ended flows own only packets up to the caller's end of stream.

--- a/crates/coordination/src/agent/mod.rs
+++ b/crates/coordination/src/agent/mod.rs
@@ -72,6 +72,8 @@
     admitted: Option<ConnectionGuard>,
     server: splice::ServerSide,
     next_poll: Option<Time>,
+    /// Sequence number after the caller's end of stream, once it was seen.
+    caller_end: u32,
 }
 
 /// Counters of an agent.
@@ -171,11 +173,22 @@
         io: &mut dyn AgentIo,
     ) {
         match decision {
-            Decision::Deliver(flow) => self.deliver(now, flow, packet, io),
+            Decision::Deliver(flow) => self.deliver(now, flow, packet, meta, io),
+            Decision::DeliverAndForward(flow, hop) => {
+                self.counters.forwarded += 1;
+                io.forward(&hop, packet);
+                self.deliver(now, flow, packet, meta, io);
+            }
             Decision::Forward(hop) => {
                 self.counters.forwarded += 1;
                 io.forward(&hop, packet);
             }
+            Decision::ForwardBoth(first, second) => {
+                self.counters.forwarded += 2;
+                io.forward(&first, packet);
+                io.forward(&second, packet);
+            }
+            Decision::Reopen(flow) => self.reopen(flow, packet, meta),
             Decision::Refuse => {
                 self.counters.refused += 1;
                 if let Some(reset) = packet::reset_for(meta) {
@@ -195,6 +208,14 @@
         meta: PacketMeta,
         io: &mut dyn AgentIo,
     ) {
+        // The caller gave up an earlier flow of the same 5-tuple.
+        if let Some(earlier) = self.ownership.flow_of(&meta.flow) {
+            let ended = self
+                .flows
+                .get(&earlier)
+                .is_some_and(|flow| flow.server.ended_cleanly());
+            self.finish(earlier, !ended, io);
+        }
         let admitted = match self.admission.admit(now) {
             Ok(admitted) => admitted,
             Err(reason) => return self.place_elsewhere(now, header, packet, &meta, reason, io),
@@ -209,6 +230,7 @@
             admitted: Some(admitted),
             server: splice::ServerSide::default(),
             next_poll: None,
+            caller_end: 0,
         };
         self.flows.insert(id, flow);
         if io.connect(id).is_err() {
@@ -216,6 +238,18 @@
         }
     }
 
+    /// Answers the newest opening packet once the backend server accepts.
+    fn reopen(&mut self, id: FlowId, packet: &[u8], meta: &PacketMeta) {
+        let Some(flow) = self.flows.get_mut(&id) else {
+            return;
+        };
+        if let Some((_, opening)) = flow.opening.as_mut() {
+            *opening = packet.to_vec();
+            flow.meta = *meta;
+            self.ownership.reopen(id, meta);
+        }
+    }
+
     fn place_elsewhere(
         &mut self,
         now: Time,
@@ -315,7 +349,19 @@
         }
     }
 
-    fn deliver(&mut self, now: Time, id: FlowId, packet: &[u8], io: &mut dyn AgentIo) {
+    fn deliver(
+        &mut self,
+        now: Time,
+        id: FlowId,
+        packet: &[u8],
+        meta: &PacketMeta,
+        io: &mut dyn AgentIo,
+    ) {
+        if meta.fin
+            && let Some(flow) = self.flows.get_mut(&id)
+        {
+            flow.caller_end = meta.sequence.wrapping_add(meta.sequence_length());
+        }
         self.advance(now, id, Some(packet), io);
     }
 
@@ -347,6 +393,11 @@
                 self.finish(id, reset, io);
             }
             (_, State::Listen | State::SynReceived | State::SynSent) => self.reschedule(now, id),
+            (_, State::TimeWait | State::LastAck | State::Closing) => {
+                let caller_end = flow.caller_end;
+                self.ownership.set_phase(id, Phase::Closing { caller_end });
+                self.reschedule(now, id);
+            }
             _ => {
                 self.ownership.set_phase(id, Phase::Established);
                 self.reschedule(now, id);
--- /dev/null
+++ b/crates/coordination/tests/flows/main.rs
@@ -0,0 +1,4 @@
+//! Flow ownership and handover under overlapping changes.
+
+mod sequences;
+mod world;
--- /dev/null
+++ b/crates/coordination/tests/flows/sequences.rs
@@ -0,0 +1,250 @@
+//! Random overlapping changes against an oracle: no flow breaks, reaches two servers, or the
+//! wrong one.
+
+use {
+    crate::world::{FlowState, HostState, Verdict, World},
+    cardamomloom_core::{Span, Weight},
+    proptest::{
+        prelude::*,
+        test_runner::{RngSeed, TestRunner},
+    },
+    rand::{RngExt, seq::SliceRandom},
+    std::cell::Cell,
+};
+
+const HOSTS: usize = 12;
+const BALANCERS: usize = 3;
+const SEQUENCES: u32 = 1_000;
+
+/// Time without changes after which every packet must reach its flow: every table is everywhere,
+/// and lost handover messages were repeated.
+const QUIET: Span = Span::from_millis(4_500);
+
+#[derive(Clone, Debug)]
+enum Change {
+    Open(usize),
+    Traffic,
+    Late(Vec<usize>),
+    Reuse(usize),
+    Close(usize),
+    Join(usize),
+    Drain(usize),
+    Leave,
+    Full(usize, bool),
+    Weight(usize, u32),
+    RotateKey,
+    DomainOut(usize),
+    DomainIn(usize),
+    Kill(usize),
+    BalancerReplaced(usize),
+    BalancerLearns(usize),
+    HostLearns(usize),
+    Pause(u64),
+    Quiet,
+}
+
+fn change() -> impl Strategy<Value = Change> {
+    prop_oneof![
+        6 => (1_usize..16).prop_map(Change::Open),
+        6 => Just(Change::Traffic),
+        2 => prop::collection::vec(0..BALANCERS, 1..4).prop_map(Change::Late),
+        2 => any::<usize>().prop_map(Change::Reuse),
+        1 => any::<usize>().prop_map(Change::Close),
+        4 => (0..HOSTS).prop_map(Change::Join),
+        3 => (0..HOSTS).prop_map(Change::Drain),
+        1 => Just(Change::Leave),
+        2 => (0..HOSTS, any::<bool>()).prop_map(|(host, full)| Change::Full(host, full)),
+        1 => (0..HOSTS, 500_u32..2_000).prop_map(|(host, weight)| Change::Weight(host, weight)),
+        1 => Just(Change::RotateKey),
+        1 => (0_usize..3).prop_map(Change::DomainOut),
+        3 => (0_usize..3).prop_map(Change::DomainIn),
+        1 => (0..HOSTS).prop_map(Change::Kill),
+        1 => (0..BALANCERS).prop_map(Change::BalancerReplaced),
+        4 => (0..BALANCERS).prop_map(Change::BalancerLearns),
+        4 => (0..HOSTS).prop_map(Change::HostLearns),
+        4 => (10_u64..2_500).prop_map(Change::Pause),
+        1 => Just(Change::Quiet),
+    ]
+}
+
+fn apply(world: &mut World, change: &Change) {
+    match *change {
+        Change::Open(count) => open(world, count),
+        Change::Traffic => traffic(world),
+        Change::Late(ref balancers) => {
+            let flow = world.add_flow();
+            world.send_opening(flow, balancers);
+        }
+        Change::Reuse(flow) if !world.flows.is_empty() => {
+            let balancer = world.rng.random_range(0..BALANCERS);
+            world.reuse(flow % world.flows.len(), balancer);
+        }
+        Change::Close(flow) if !world.flows.is_empty() => world.close(flow % world.flows.len()),
+        Change::Join(host) if world.hosts[host].state == HostState::Absent => world.join(host),
+        Change::Drain(host) if is_ready(world, host) && world.ready() > 2 => world.drain(host),
+        Change::Leave => (0..HOSTS).for_each(|host| world.leave_if_idle(host)),
+        Change::Full(host, full) => world.hosts[host].full = full,
+        Change::Weight(host, weight) if is_ready(world, host) => {
+            world.hosts[host].weight = Weight(weight);
+            world.publish();
+        }
+        Change::RotateKey => {
+            world.key = world.key.wrapping_add(1) % 4;
+            world.publish();
+        }
+        Change::DomainOut(domain) => domain_out(world, domain),
+        Change::DomainIn(domain) => {
+            for host in domain * 4..domain * 4 + 4 {
+                if world.hosts[host].state == HostState::Absent {
+                    world.join(host);
+                }
+            }
+        }
+        Change::Kill(host) if is_ready(world, host) && world.ready() > 2 => world.remove(&[host]),
+        Change::BalancerReplaced(balancer) => {
+            world.update_balancer(balancer, world.versions.len() - 1);
+        }
+        Change::BalancerLearns(balancer) => {
+            let version = newer(world, world.balancers[balancer]);
+            world.update_balancer(balancer, version);
+        }
+        Change::HostLearns(host) => {
+            let version = newer(world, world.hosts[host].version);
+            world.update_host(host, version);
+        }
+        Change::Pause(pause_ms) => world.advance(Span::from_millis(pause_ms)),
+        Change::Quiet => check_quiet(world),
+        _ => {}
+    }
+}
+
+fn newer(world: &mut World, version: usize) -> usize {
+    let newest = world.versions.len();
+    world.rng.random_range(version..newest)
+}
+
+fn is_ready(world: &World, host: usize) -> bool {
+    world.hosts[host].state == HostState::Ready
+}
+
+fn domain_out(world: &mut World, domain: usize) {
+    let hosts: Vec<usize> = (domain * 4..domain * 4 + 4).collect();
+    let elsewhere = (0..HOSTS).filter(|host| !hosts.contains(host) && is_ready(world, *host));
+    if elsewhere.count() > 1 {
+        world.remove(&hosts);
+    }
+}
+
+fn open(world: &mut World, count: usize) {
+    for _ in 0..count {
+        let flow = world.add_flow();
+        let copies = world.rng.random_range(1..3);
+        let mut balancers: Vec<usize> = (0..BALANCERS).collect();
+        balancers.shuffle(&mut world.rng);
+        world.send_opening(flow, &balancers[..copies]);
+    }
+}
+
+fn traffic(world: &mut World) {
+    for flow in 0..world.flows.len() {
+        let balancer = world.rng.random_range(0..BALANCERS);
+        world.send_next(flow, balancer);
+    }
+}
+
+/// After a time without changes every flow must answer through every balancer, with one extra
+/// hop at most.
+fn check_quiet(world: &mut World) {
+    world.advance(QUIET);
+    for flow in 0..world.flows.len() {
+        for balancer in 0..BALANCERS {
+            if !matches!(world.flows[flow].state, FlowState::Open { .. }) {
+                continue;
+            }
+            let trace = world.send_next(flow, balancer);
+            if !trace.delivered || trace.hops > 1 {
+                world.verdict.broken += 1;
+            }
+        }
+    }
+}
+
+fn run_sequence(seed: u64, changes: &[Change], handover: bool) -> World {
+    let mut world = World::new(seed, HOSTS, BALANCERS, handover);
+    open(&mut world, 10);
+    for change in changes {
+        apply(&mut world, change);
+    }
+    check_quiet(&mut world);
+    world
+}
+
+fn runner(cases: u32) -> TestRunner {
+    TestRunner::new(ProptestConfig {
+        cases,
+        rng_seed: RngSeed::Fixed(0x5eed_f10f),
+        failure_persistence: None,
+        max_shrink_iters: 400,
+        ..ProptestConfig::default()
+    })
+}
+
+/// Guards against a flow that breaks, is answered twice or by the wrong server while joins,
+/// drains, redirects, weights, hash keys and failure domains change at once and every balancer
+/// and agent has a table of another age.
+#[test]
+fn verify_overlapping_changes_break_no_flow() {
+    let opened = Cell::new(0);
+    let sequences = (any::<u64>(), prop::collection::vec(change(), 5..30));
+    runner(SEQUENCES)
+        .run(&sequences, |(seed, changes)| {
+            let world = run_sequence(seed, &changes, true);
+            opened.set(opened.get() + world.opened);
+            prop_assert_eq!(world.verdict, Verdict::default());
+            Ok(())
+        })
+        .unwrap_or_else(|failure| panic!("{failure}"));
+    println!("{SEQUENCES} sequences, {} flows", opened.get());
+    assert!(opened.get() >= 10_000, "only {} flows", opened.get());
+}
+
+/// Guards against an oracle that cannot fail: without handover messages flows must be lost.
+#[test]
+fn verify_the_oracle_sees_flows_break_without_handover() {
+    let broken = Cell::new(0);
+    let sequences = (any::<u64>(), prop::collection::vec(change(), 5..30));
+    runner(60)
+        .run(&sequences, |(seed, changes)| {
+            let world = run_sequence(seed, &changes, false);
+            broken.set(broken.get() + world.verdict.broken);
+            Ok(())
+        })
+        .unwrap_or_else(|failure| panic!("{failure}"));
+    println!("60 sequences without handover, {} broken", broken.get());
+    assert!(broken.get() > 0);
+}
+
+/// Guards against flows lost when a whole failure domain of 4 returns to 12 hosts at once, with
+/// 10,000 flows open, while hosts drain and join and no two balancers agree.
+#[test]
+fn verify_a_returning_failure_domain_breaks_no_flow() {
+    let mut world = World::new(7, HOSTS, BALANCERS, true);
+    domain_out(&mut world, 2);
+    world.advance(QUIET);
+    open(&mut world, 10_500);
+    world.advance(Span::from_millis(200));
+    traffic(&mut world);
+    for host in 8..12 {
+        world.join(host);
+    }
+    world.update_balancer(0, world.versions.len() - 1);
+    world.update_balancer(1, world.versions.len() - 3);
+    traffic(&mut world);
+    world.drain(0);
+    world.hosts[9].full = true;
+    world.advance(Span::from_millis(300));
+    traffic(&mut world);
+    check_quiet(&mut world);
+    assert!(world.opened >= 10_000, "only {} flows", world.opened);
+    assert_eq!(world.verdict, Verdict::default());
+}
--- /dev/null
+++ b/crates/coordination/tests/flows/world/mod.rs
@@ -0,0 +1,291 @@
+//! Small model of a service for tests of flow ownership: agents with the real decision code,
+//! balancers with tables of different ages, a lossy control network and callers.
+
+mod callers;
+mod tables;
+
+pub use callers::{Flow, FlowState};
+
+use {
+    cardamomloom_coordination::{
+        handover::{HandoverOptions, Members, Peer},
+        ownership::{FlowId, Ownership, OwnershipOptions},
+    },
+    cardamomloom_core::{HostId, Incarnation, ServiceId, Span, Time, Weight},
+    cardamomloom_protocol::control::Message,
+    cardamomloom_state::candidates::CandidateTable,
+    rand::{RngExt, SeedableRng},
+    rand_chacha::ChaCha8Rng,
+    std::{
+        collections::{BTreeMap, HashMap},
+        net::SocketAddr,
+        sync::Arc,
+    },
+};
+
+pub const SERVICE: ServiceId = ServiceId(1);
+
+/// Bound of the design page within which a change reaches every balancer and agent.
+pub const EVERYWHERE: Span = Span::from_secs(3);
+
+const TICK: Span = Span::from_millis(20);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HostState {
+    Absent,
+    Ready,
+    Draining,
+}
+
+pub struct Host {
+    pub state: HostState,
+    pub full: bool,
+    pub weight: Weight,
+    pub incarnation: Incarnation,
+    pub ownership: Ownership,
+    pub version: usize,
+    /// Initial sequence numbers of caller and agent of each flow, as TCP checks them.
+    pub tcp: HashMap<FlowId, (u32, u32)>,
+    pub connecting: Vec<callers::Connecting>,
+}
+
+pub struct Version {
+    pub table: Arc<CandidateTable>,
+    pub members: Vec<Peer>,
+    pub since: Time,
+}
+
+/// What the oracle counts.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Verdict {
+    pub broken: usize,
+    pub misdelivered: usize,
+    pub duplicated: usize,
+}
+
+pub struct World {
+    pub now: Time,
+    pub rng: ChaCha8Rng,
+    pub hosts: Vec<Host>,
+    pub versions: Vec<Version>,
+    pub balancers: Vec<usize>,
+    pub flows: Vec<Flow>,
+    pub verdict: Verdict,
+    pub handover: bool,
+    pub loss_percent: u32,
+    pub key: u8,
+    pub opened: usize,
+    pub resets: usize,
+    messages: BTreeMap<(Time, u64), (SocketAddr, Message)>,
+    next_message: u64,
+}
+
+impl World {
+    /// Creates `hosts` hosts in three failure domains, all ready and confirmed.
+    pub fn new(seed: u64, hosts: usize, balancers: usize, handover: bool) -> Self {
+        let mut world = Self {
+            now: Time::from_millis(1_000),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            hosts: (0..hosts).map(|index| new_host(index, 1)).collect(),
+            versions: Vec::new(),
+            balancers: vec![0; balancers],
+            flows: Vec::new(),
+            verdict: Verdict::default(),
+            handover,
+            loss_percent: 5,
+            key: 0,
+            opened: 0,
+            resets: 0,
+            messages: BTreeMap::new(),
+            next_message: 0,
+        };
+        for host in &mut world.hosts {
+            host.state = HostState::Ready;
+        }
+        world.publish();
+        world.update_all();
+        world.advance(Span::from_secs(1));
+        world
+    }
+
+    pub fn ready(&self) -> usize {
+        let is_ready = |host: &&Host| host.state == HostState::Ready;
+        self.hosts.iter().filter(is_ready).count()
+    }
+
+    /// Records the present hosts as a new version, which balancers and agents learn later.
+    pub fn publish(&mut self) {
+        let version = tables::version(&self.hosts, self.key, self.now);
+        self.versions.push(version);
+    }
+
+    pub fn join(&mut self, index: usize) {
+        let next = self.hosts[index].incarnation.0 + 1;
+        self.hosts[index] = new_host(index, next);
+        self.hosts[index].state = HostState::Ready;
+        self.publish();
+        self.update_host(index, self.versions.len() - 1);
+    }
+
+    pub fn drain(&mut self, index: usize) {
+        self.hosts[index].state = HostState::Draining;
+        self.publish();
+    }
+
+    /// A drained host leaves only when its flows have ended.
+    pub fn leave_if_idle(&mut self, index: usize) {
+        let host = &self.hosts[index];
+        if host.state == HostState::Draining && host.ownership.flow_count() == 0 {
+            self.remove(&[index]);
+        }
+    }
+
+    /// Ends agents; their flows are given up.
+    pub fn remove(&mut self, indexes: &[usize]) {
+        for index in indexes {
+            self.hosts[*index].state = HostState::Absent;
+            self.hosts[*index].connecting.clear();
+            for flow in &mut self.flows {
+                flow.lose_host(*index);
+            }
+        }
+        self.publish();
+    }
+
+    pub fn update_balancer(&mut self, index: usize, version: usize) {
+        self.balancers[index] = self.balancers[index].max(version);
+    }
+
+    pub fn update_host(&mut self, index: usize, version: usize) {
+        let (now, host) = (self.now, &mut self.hosts[index]);
+        if host.state == HostState::Absent {
+            return;
+        }
+        let known = &self.versions[version];
+        host.version = version;
+        let members = Members {
+            incarnation: host.incarnation,
+            peers: known.members.clone(),
+        };
+        host.ownership.set_table(now, known.table.clone(), members);
+    }
+
+    /// Brings every balancer and agent to the newest version.
+    pub fn update_all(&mut self) {
+        let newest = self.versions.len() - 1;
+        for index in 0..self.balancers.len() {
+            self.update_balancer(index, newest);
+        }
+        for index in 0..self.hosts.len() {
+            if self.hosts[index].version != newest {
+                self.update_host(index, newest);
+            }
+        }
+    }
+
+    /// Lets time pass: control messages, connects, and versions that are due everywhere.
+    pub fn advance(&mut self, span: Span) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now = self.now + TICK;
+            self.deliver_messages();
+            self.finish_connects();
+            self.enforce_versions();
+            for index in 0..self.hosts.len() {
+                if self.hosts[index].state != HostState::Absent {
+                    let due = self.hosts[index].ownership.on_tick(self.now);
+                    for outgoing in due {
+                        self.send_message(outgoing.to, &outgoing.message);
+                    }
+                }
+            }
+        }
+    }
+
+    fn enforce_versions(&mut self) {
+        let due = self
+            .versions
+            .iter()
+            .rposition(|version| version.since + EVERYWHERE <= self.now)
+            .unwrap_or_default();
+        for index in 0..self.balancers.len() {
+            self.update_balancer(index, due);
+        }
+        for index in 0..self.hosts.len() {
+            if self.hosts[index].version < due {
+                self.update_host(index, due);
+            }
+        }
+    }
+
+    /// The control network loses, delays, reorders and repeats messages.
+    fn send_message(&mut self, to: SocketAddr, message: &Message) {
+        if !self.handover {
+            return;
+        }
+        for _ in 0..=usize::from(self.rng.random_ratio(1, 20)) {
+            if self.rng.random_ratio(self.loss_percent, 100) {
+                continue;
+            }
+            let delay = Span::from_millis(self.rng.random_range(1..60));
+            self.next_message += 1;
+            let at = (self.now + delay, self.next_message);
+            self.messages.insert(at, (to, message.clone()));
+        }
+    }
+
+    fn deliver_messages(&mut self) {
+        while let Some(entry) = self.messages.first_entry() {
+            if entry.key().0 > self.now {
+                return;
+            }
+            let (to, message) = entry.remove();
+            let index = host_of_address(to);
+            if self.hosts[index].state == HostState::Absent {
+                continue;
+            }
+            let answer = self.hosts[index].ownership.on_message(self.now, &message);
+            if let Some(outgoing) = answer {
+                self.send_message(outgoing.to, &outgoing.message);
+            }
+        }
+    }
+}
+
+pub fn host_id(index: usize) -> HostId {
+    HostId(u32::try_from(index).expect("few hosts") + 1)
+}
+
+pub fn address(index: usize) -> SocketAddr {
+    let port = u16::try_from(index).expect("few hosts") + 1;
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+pub fn host_of_address(address: SocketAddr) -> usize {
+    usize::from(address.port()) - 1
+}
+
+fn new_host(index: usize, incarnation: u64) -> Host {
+    let handover = HandoverOptions {
+        // Small bounds reach refreshes within a sequence.
+        refresh_span: Span::from_secs(7),
+        entry_span: Span::from_secs(40),
+        ..HandoverOptions::default()
+    };
+    let options = OwnershipOptions {
+        handover,
+        ..OwnershipOptions::default()
+    };
+    let mut ownership = Ownership::new(host_id(index), SERVICE, options);
+    ownership.set_addresses(vec![callers::service_address()]);
+    Host {
+        state: HostState::Absent,
+        full: false,
+        weight: Weight::STANDARD,
+        incarnation: Incarnation(incarnation),
+        ownership,
+        version: 0,
+        tcp: HashMap::new(),
+        connecting: Vec::new(),
+    }
+}
--- a/crates/daemon/src/agent/control.rs
+++ b/crates/daemon/src/agent/control.rs
@@ -6,12 +6,15 @@
         control::{ControlSender, Event},
         inspect::DaemonInspect,
     },
-    cardamomloom_coordination::membership::{AgentMembership, AgentMembershipOptions},
+    cardamomloom_coordination::{
+        handover::{Members, Peer},
+        membership::{AgentMembership, AgentMembershipOptions},
+    },
     cardamomloom_core::{
         DomainName, HostId, Incarnation, ServiceName, Span, TableVersion, Time, Weight,
     },
     cardamomloom_protocol::{
-        control::{HostEntry, HostState},
+        control::{HostEntry, HostState, Message},
         object::{self, NODES_PREFIX, NodeSpec, ServiceSpec},
         store_api::{Object, ObjectList},
     },
@@ -108,6 +111,9 @@
         let now = self.options.clock.now();
         match event {
             Event::Objects(list) => self.on_objects(now, &list),
+            Event::Datagram { message, .. } if is_handover(&message) => {
+                self.options.commands.send(Command::Handover(message));
+            }
             Event::Datagram { message, .. } => {
                 if let Some(membership) = self.membership.as_mut() {
                     membership.on_message(now, &message);
@@ -236,11 +242,25 @@
             return;
         }
         let candidates = candidates_of(spec.id, &self.catalogue, membership.hosts());
+        let members = Members {
+            incarnation: membership.entry().incarnation,
+            peers: candidates
+                .iter()
+                .filter_map(|candidate| membership.hosts().get(candidate.host))
+                .map(|entry| Peer {
+                    host: entry.host,
+                    incarnation: entry.incarnation,
+                    control_address: entry.control_address,
+                })
+                .collect(),
+        };
         match CandidateTable::build(spec.id, spec.hash_key_bytes(), candidates) {
             Ok(table) => {
                 self.table = table.version();
                 membership.set_table(self.table);
-                self.options.commands.send(Command::Table(Arc::new(table)));
+                self.options
+                    .commands
+                    .send(Command::Table(Arc::new(table), members));
             }
             Err(error) => warn!(event = "table_rejected"; "{error}"),
         }
@@ -309,3 +329,13 @@
         }));
     }
 }
+
+fn is_handover(message: &Message) -> bool {
+    matches!(
+        message,
+        Message::Handover { .. }
+            | Message::HandoverConfirm { .. }
+            | Message::HandoverQuery { .. }
+            | Message::HandoverState { .. }
+    )
+}
--- a/crates/daemon/src/agent/mod.rs
+++ b/crates/daemon/src/agent/mod.rs
@@ -41,6 +41,7 @@
         return_address: agent.return_address,
         clock: shell.clock,
         seed: shell.incarnation.0,
+        control: shell.control.clone(),
     };
     let (packets, commands) = packet_loop::spawn(
         shell.data_socket,
--- a/crates/daemon/src/agent/packet_loop.rs
+++ b/crates/daemon/src/agent/packet_loop.rs
@@ -1,10 +1,14 @@
 //! Packet loop of an agent: packets of callers and connections to the backend server.
 
 use {
-    crate::{balancer::DropCounters, control::Event},
+    crate::{
+        balancer::DropCounters,
+        control::{ControlSender, Event},
+    },
     cardamomloom_coordination::{
         admission::FixedLimit,
         agent::{Agent, AgentCounters, AgentIo},
+        handover::Members,
         ownership::{FlowId, Hop, Ownership, OwnershipOptions},
         termination::TerminationOptions,
     },
@@ -13,6 +17,7 @@
         error::{Error, io},
     },
     cardamomloom_protocol::{
+        control::Message,
         forward::{DatagramKey, ForwardHeader},
         gue,
         packet::DropCause,
@@ -63,6 +68,8 @@
     pub clock: MonotonicClock,
     /// Seed of initial sequence numbers.
     pub seed: u64,
+    /// Sender of handover messages.
+    pub control: ControlSender,
 }
 
 /// Change of configuration for the packet loop.
@@ -77,8 +84,10 @@
         /// Connections that the backend server can hold.
         limit: u32,
     },
-    /// A new candidate table.
-    Table(Arc<CandidateTable>),
+    /// A new candidate table with its agents.
+    Table(Arc<CandidateTable>, Members),
+    /// A handover message of another agent.
+    Handover(Message),
     /// Whether the failure domain of the host is out.
     DomainOut(bool),
     /// Whether new flows are accepted.
@@ -220,6 +229,9 @@
             let now = self.options.clock.now();
             if let Some(agent) = self.agent.as_mut() {
                 agent.on_timer(now, &mut self.io);
+                for due in agent.ownership_mut().on_tick(now) {
+                    self.options.control.send(due.to, &due.message);
+                }
             }
             self.report(now);
         }
@@ -307,7 +319,14 @@
             return;
         };
         match command {
-            Command::Table(table) => agent.ownership_mut().set_table(now, table),
+            Command::Table(table, members) => {
+                agent.ownership_mut().set_table(now, table, members);
+            }
+            Command::Handover(message) => {
+                if let Some(answer) = agent.ownership_mut().on_message(now, &message) {
+                    self.options.control.send(answer.to, &answer.message);
+                }
+            }
             Command::DomainOut(out) => {
                 agent.ownership_mut().set_domain_out(out);
                 if out {
--- a/crates/protocol/src/control/mod.rs
+++ b/crates/protocol/src/control/mod.rs
@@ -14,8 +14,7 @@
 use {
     crate::{forward::DatagramKey, packet::FlowKey},
     cardamomloom_core::{
-        BucketId, DomainName, HostId, Incarnation, NodeId, ServiceId, ServiceName, TableVersion,
-        Weight,
+        DomainName, HostId, Incarnation, NodeId, ServiceId, ServiceName, TableVersion, Weight,
         error::{Error, ErrorKind, malformed},
     },
     serde::{Deserialize, Serialize},
@@ -104,7 +103,8 @@
         /// Host entries, newest known state.
         entries: Vec<HostEntry>,
     },
-    /// An agent tells the first candidate of a bucket which open flows it owns there.
+    /// An agent tells the first candidate of some buckets which open flows it owns there. A part
+    /// without flows says that it owns none.
     Handover {
         /// The owner.
         from: HostId,
@@ -114,19 +114,25 @@
         service: ServiceId,
         /// Table for which the flows were selected.
         table: TableVersion,
-        /// Position of this message within the complete list, counted from 0.
+        /// Number of the list within the life of the owner; a later list replaces an earlier one.
+        generation: u64,
+        /// Position of this part within the list, counted from 0.
         part: u32,
-        /// Number of messages in the complete list.
+        /// Number of parts in the list; it grows when the owner opens further flows.
         parts: u32,
-        /// Open flows of the owner, with their buckets.
-        flows: Vec<(BucketId, FlowKey)>,
+        /// Open flows of the owner.
+        flows: Vec<FlowKey>,
     },
-    /// A first candidate confirms a part of a handover.
+    /// A first candidate confirms that it keeps a part of a handover.
     HandoverConfirm {
         /// The receiver of the handover.
         from: HostId,
-        /// Table of the confirmed part.
-        table: TableVersion,
+        /// Life of the receiver.
+        incarnation: Incarnation,
+        /// Life of the owner whose part is confirmed.
+        owner_incarnation: Incarnation,
+        /// The confirmed list.
+        generation: u64,
         /// The confirmed part.
         part: u32,
     },
@@ -191,6 +197,31 @@
     Probe,
     /// Answers a probe.
     ProbeAnswer,
+    /// A first candidate asks an agent how long its list is now, before it answers unknown
+    /// packets with resets.
+    HandoverQuery {
+        /// The sender.
+        from: HostId,
+        /// Service of both agents.
+        service: ServiceId,
+        /// Repeated in the answer.
+        round: u64,
+    },
+    /// Answer to a [`Message::HandoverQuery`].
+    HandoverState {
+        /// The owner.
+        from: HostId,
+        /// Life of the owner.
+        incarnation: Incarnation,
+        /// Table of the owner.
+        table: TableVersion,
+        /// List of the owner for the asking host.
+        generation: u64,
+        /// Number of parts in the list.
+        parts: u32,
+        /// Round of the query.
+        round: u64,
+    },
 }
 
 /// Returns the datagram for a message.
--- a/crates/protocol/src/packet/mod.rs
+++ b/crates/protocol/src/packet/mod.rs
@@ -50,6 +50,8 @@
     WrongService,
     /// All candidates were visited while tables are settling.
     Settling,
+    /// No agent of the service owns the flow, as far as confirmed, and a reset is not due yet.
+    UnknownFlow,
     /// The failure domain of this process is out.
     DomainOut,
     /// Too many hops were taken.
@@ -64,7 +66,7 @@
 
 impl DropCause {
     /// All causes.
-    pub const ALL: [Self; 15] = [
+    pub const ALL: [Self; 16] = [
         Self::BadEncapsulation,
         Self::BadForwardHeader,
         Self::MalformedIp,
@@ -75,6 +77,7 @@
         Self::NoCandidate,
         Self::WrongService,
         Self::Settling,
+        Self::UnknownFlow,
         Self::DomainOut,
         Self::HopLimit,
         Self::LimitExceeded,
@@ -96,6 +99,7 @@
             Self::NoCandidate => "no_candidate",
             Self::WrongService => "wrong_service",
             Self::Settling => "settling",
+            Self::UnknownFlow => "unknown_flow",
             Self::DomainOut => "domain_out",
             Self::HopLimit => "hop_limit",
             Self::LimitExceeded => "limit_exceeded",
