coordination: repeat unanswered queries before a reset

Cause: a round of queries needed an answer of every agent at the first attempt. With 24 hosts and 5 % loss most rounds failed, so that callers of flows whose agent was killed waited long for their reset.

Change: a round asks again those agents that have not answered. Unknown flows are remembered for 60 s whatever the settling time. The model moves to the stand-ins; its network has a generator of its own, so that the same callers can be run with and without handover.

--- a/crates/coordination/src/handover/mod.rs
+++ b/crates/coordination/src/handover/mod.rs
@@ -59,8 +59,11 @@
     /// Time for which a flow stays unknown here before its packets are answered with a reset.
     /// It exceeds the 3 s within which a change of a host reaches every balancer and agent.
     pub settle_span: Span,
-    /// Least time between two rounds of queries.
+    /// Least time between two queries to the same agent.
     pub query_interval: Span,
+    /// Time for which an unknown flow is remembered. It exceeds the settling time by several
+    /// retransmissions of a caller.
+    pub sighting_span: Span,
     /// Most unknown flows that are remembered.
     pub max_sightings: usize,
 }
@@ -75,7 +78,8 @@
             parts_per_burst: 16,
             max_entries: 200_000,
             settle_span: Span::from_secs(10),
-            query_interval: Span::from_secs(2),
+            query_interval: Span::from_millis(500),
+            sighting_span: Span::from_secs(60),
             max_sightings: 4_096,
         }
     }
@@ -361,9 +365,10 @@
             flows: part.flows.to_vec(),
         });
         if self.authoritative
-            && let Some(round) = self.verification.start_round(now, self.peers.keys())
+            && let Some((round, hosts)) = self.verification.due_queries(now, self.peers.keys())
         {
-            due.extend(self.peers.values().map(|peer| Outgoing {
+            let peers = hosts.iter().filter_map(|host| self.peers.get(host));
+            due.extend(peers.map(|peer| Outgoing {
                 to: peer.control_address,
                 message: Message::HandoverQuery {
                     from: self.host,
--- a/crates/coordination/src/handover/verification.rs
+++ b/crates/coordination/src/handover/verification.rs
@@ -20,7 +20,8 @@
 
 #[derive(Debug)]
 struct Round {
-    sent: Time,
+    started: Time,
+    asked: Time,
     missing: BTreeSet<HostId>,
 }
 
@@ -77,38 +78,53 @@
                 .is_some_and(|cleared| sighting.first + self.options.settle_span <= cleared)
     }
 
-    /// Starts a round of queries when a flow has settled since the last one.
-    pub fn start_round<'a>(
+    /// Returns the round and the agents to ask now: all when a flow has settled since the last
+    /// round, and those without a usable answer again.
+    pub fn due_queries<'a>(
         &mut self,
         now: Time,
         peers: impl Iterator<Item = &'a HostId>,
-    ) -> Option<u64> {
-        let last = self.round.as_ref().map(|round| round.sent);
-        if self.sightings.is_empty()
-            || last.is_some_and(|sent| now.since(sent) < self.options.query_interval)
-        {
+    ) -> Option<(u64, Vec<HostId>)> {
+        if self.sightings.is_empty() {
             return None;
         }
-        let settle_span = self.options.settle_span;
-        // A caller repeats its packet at least once within several settling times.
-        let oldest = now - settle_span - settle_span - settle_span - settle_span;
-        self.sightings
-            .retain(|_, sighting| sighting.first >= oldest);
-        let cleared = self.cleared;
-        let settled = self.sightings.values().any(|sighting| {
-            let due = sighting.first + settle_span;
-            due <= now && cleared.is_none_or(|cleared| due > cleared)
-        });
-        if !settled {
+        if let Some(round) = self.round.as_mut() {
+            if now.since(round.asked) < self.options.query_interval {
+                return None;
+            }
+            if !round.missing.is_empty() {
+                round.asked = now;
+                return Some((self.number, round.missing.iter().copied().collect()));
+            }
+        }
+        self.forget_old(now);
+        if !self.has_settled(now) {
             return None;
         }
         self.number += 1;
+        let missing: BTreeSet<HostId> = peers.copied().collect();
+        let asked = missing.iter().copied().collect();
         self.round = Some(Round {
-            sent: now,
-            missing: peers.copied().collect(),
+            started: now,
+            asked: now,
+            missing,
         });
         self.finish_round();
-        Some(self.number)
+        Some((self.number, asked))
+    }
+
+    /// Forgets flows whose callers have given up.
+    fn forget_old(&mut self, now: Time) {
+        let oldest = now - self.options.sighting_span;
+        self.sightings
+            .retain(|_, sighting| sighting.first >= oldest);
+    }
+
+    fn has_settled(&self, now: Time) -> bool {
+        self.sightings.values().any(|sighting| {
+            let due = sighting.first + self.options.settle_span;
+            due <= now && self.cleared.is_none_or(|cleared| due > cleared)
+        })
     }
 
     /// Takes the answer of an agent whose whole list is in the directory.
@@ -126,7 +142,7 @@
         if let Some(round) = &self.round
             && round.missing.is_empty()
         {
-            self.cleared = Some(round.sent);
+            self.cleared = Some(round.started);
         }
     }
 }
--- a/crates/coordination/tests/flows/main.rs
+++ b/crates/coordination/tests/flows/main.rs
@@ -2,4 +2,3 @@
 
 mod scenarios;
 mod sequences;
-mod world;
--- a/crates/coordination/tests/flows/scenarios.rs
+++ b/crates/coordination/tests/flows/scenarios.rs
@@ -1,10 +1,12 @@
 //! Scripted scenarios; each file in `tests/scenarios/flows` states one promise.
 
 use {
-    crate::world::{FlowState, HostState, SERVICE, World, host_id, service_address},
     cardamomloom_coordination::ownership::Decision,
     cardamomloom_core::{ServiceId, Span},
     cardamomloom_protocol::forward::{ForwardHeader, Visited},
+    cardamomloom_standins::model::{
+        FlowState, HostState, SERVICE, World, host_id, service_address,
+    },
     datadriven::walk,
     std::{fmt::Write, net::SocketAddr, str::FromStr},
 };
--- a/crates/coordination/tests/flows/sequences.rs
+++ b/crates/coordination/tests/flows/sequences.rs
@@ -2,8 +2,8 @@
 //! wrong one.
 
 use {
-    crate::world::{FlowState, HostState, Verdict, World},
     cardamomloom_core::{Span, Weight},
+    cardamomloom_standins::model::{FlowState, HostState, Verdict, World},
     proptest::{
         prelude::*,
         test_runner::{RngSeed, TestRunner},
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod caller;
 pub mod demo;
 pub mod fabric;
+pub mod model;
 pub mod processes;
 pub mod store;
--- a/crates/coordination/tests/flows/world/callers.rs
+++ b/crates/standins/src/model/callers.rs
@@ -14,31 +14,43 @@
     std::{collections::BTreeSet, net::SocketAddr},
 };
 
+/// State of a flow as its caller sees it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FlowState {
     /// The caller sent its opening packet and has no answer.
     Opening,
     /// The caller took the answer of one agent.
     Open {
+        /// Host of the agent.
         host: usize,
+        /// The flow at the agent.
         id: FlowId,
+        /// Initial sequence number of the agent.
         local_isn: u32,
     },
     /// The agent that owned the flow was ended on purpose or killed.
-    Lost { local_isn: u32 },
+    Lost {
+        /// Initial sequence number of the agent.
+        local_isn: u32,
+    },
     /// The flow has ended or was refused.
     Ended,
 }
 
+/// One flow of a caller.
 pub struct Flow {
+    /// The 5-tuple.
     pub key: FlowKey,
+    /// Initial sequence number of the caller.
     pub isn: u32,
+    /// Present state.
     pub state: FlowState,
     /// Flows of backend servers that took a byte of the request.
     servers: BTreeSet<(usize, FlowId)>,
 }
 
 impl Flow {
+    /// Marks the flow as lost when its agent runs on a host that ended.
     pub fn lose_host(&mut self, lost: usize) {
         if let FlowState::Open {
             host, local_isn, ..
@@ -50,6 +62,7 @@
     }
 }
 
+/// A connect of an agent to its server.
 pub struct Connecting {
     flow: usize,
     id: FlowId,
@@ -59,11 +72,16 @@
 /// What became of a packet.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Trace {
+    /// The flow that owns the packet took it.
     pub delivered: bool,
+    /// The caller was reset.
     pub reset: bool,
+    /// Agents that passed the delivered packet on.
     pub hops: u8,
 }
 
+/// Returns the address of the modelled service.
+#[must_use]
 pub fn service_address() -> SocketAddr {
     SocketAddr::from(([203, 0, 113, 1], 80))
 }
@@ -72,9 +90,9 @@
     /// Adds a caller that has not sent anything yet.
     pub fn add_flow(&mut self) -> usize {
         let index = self.flows.len();
-        let number = u32::try_from(index).expect("few flows");
+        let number = u32::try_from(index).unwrap_or(u32::MAX);
         let [_, a, b, c] = (number / 50_000 + 1).to_be_bytes();
-        let port = u16::try_from(number % 50_000).expect("a port") + 1_024;
+        let port = u16::try_from(number % 50_000).unwrap_or_default() + 1_024;
         let key = FlowKey {
             caller: SocketAddr::from(([10, a, b, c], port)),
             service: service_address(),
@@ -138,6 +156,7 @@
         }
     }
 
+    /// Ends an open flow.
     pub fn close(&mut self, flow: usize) {
         if let FlowState::Open { host, id, .. } = self.flows[flow].state {
             self.hosts[host].ownership.remove(id);
@@ -145,6 +164,8 @@
         }
     }
 
+    /// Returns the opening packet of a flow, or a packet of its request.
+    #[must_use]
     pub fn meta(&self, flow: usize, syn: bool, local_isn: u32) -> PacketMeta {
         let flow = &self.flows[flow];
         PacketMeta {
@@ -235,7 +256,7 @@
     }
 
     /// Ends the pending connects: one in eight fails and is placed elsewhere.
-    pub fn finish_connects(&mut self) {
+    pub(super) fn finish_connects(&mut self) {
         for index in 0..self.hosts.len() {
             for pending in std::mem::take(&mut self.hosts[index].connecting) {
                 let (flow, key) = (pending.flow, self.flows[pending.flow].key);
--- a/crates/coordination/tests/flows/world/mod.rs
+++ b/crates/standins/src/model/mod.rs
@@ -1,5 +1,5 @@
-//! Small model of a service for tests of flow ownership: agents with the real decision code,
-//! balancers with tables of different ages, a lossy control network and callers.
+//! Small model of one service for tests and measurements of flow ownership: agents with the real
+//! decision code, balancers with tables of different ages, a lossy control network and callers.
 
 mod callers;
 mod tables;
@@ -23,6 +23,7 @@
     },
 };
 
+/// Service of the model.
 pub const SERVICE: ServiceId = ServiceId(1);
 
 /// Bound of the design page within which a change reaches every balancer and agent.
@@ -30,60 +31,95 @@
 
 const TICK: Span = Span::from_millis(20);
 
+/// State of a modelled host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum HostState {
+    /// The host has no agent.
     Absent,
+    /// The host takes new flows.
     Ready,
+    /// The host keeps its flows and takes no new ones.
     Draining,
 }
 
+/// A host with its agent.
 pub struct Host {
+    /// Present state.
     pub state: HostState,
+    /// Whether admission rejects new flows.
     pub full: bool,
+    /// Share in placement.
     pub weight: Weight,
+    /// Life of the agent.
     pub incarnation: Incarnation,
+    /// Decisions of the agent.
     pub ownership: Ownership,
+    /// Version that the agent uses.
     pub version: usize,
     /// Initial sequence numbers of caller and agent of each flow, as TCP checks them.
     pub tcp: HashMap<FlowId, (u32, u32)>,
+    /// Connects to the server that have not ended.
     pub connecting: Vec<callers::Connecting>,
 }
 
+/// The hosts at one time, as balancers and agents learn them later.
 pub struct Version {
+    /// Candidate table.
     pub table: Arc<CandidateTable>,
+    /// Agents in the table.
     pub members: Vec<Peer>,
+    /// When the hosts changed.
     pub since: Time,
 }
 
 /// What the oracle counts.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Verdict {
+    /// Live flows that were reset or could not be reached.
     pub broken: usize,
+    /// Packets that a flow took which does not own them.
     pub misdelivered: usize,
+    /// Requests of which two servers took bytes.
     pub duplicated: usize,
 }
 
+/// One service with its balancers and callers, in virtual time.
 pub struct World {
+    /// Virtual time.
     pub now: Time,
+    /// Choices of callers, servers and tests.
     pub rng: ChaCha8Rng,
+    /// Hosts by index.
     pub hosts: Vec<Host>,
+    /// All versions, oldest first.
     pub versions: Vec<Version>,
+    /// Version that each balancer uses.
     pub balancers: Vec<usize>,
+    /// Flows of all callers.
     pub flows: Vec<Flow>,
+    /// What went wrong.
     pub verdict: Verdict,
+    /// Whether handover messages are carried.
     pub handover: bool,
+    /// Share of lost control messages.
     pub loss_percent: u32,
+    /// Hash key of the service.
     pub key: u8,
+    /// Flows that callers opened.
     pub opened: usize,
+    /// Resets that callers received.
     pub resets: usize,
     /// Hosts whose control messages are lost.
     pub cut: BTreeSet<usize>,
+    /// Kept apart from `rng`, so that the same callers can be run with and without handover.
+    network_rng: ChaCha8Rng,
     messages: BTreeMap<(Time, u64), (SocketAddr, Message)>,
     next_message: u64,
 }
 
 impl World {
     /// Creates `hosts` hosts in three failure domains, all ready and confirmed.
+    #[must_use]
     pub fn new(seed: u64, hosts: usize, balancers: usize, handover: bool) -> Self {
         let mut world = Self {
             now: Time::from_millis(1_000),
@@ -99,6 +135,7 @@
             opened: 0,
             resets: 0,
             cut: BTreeSet::new(),
+            network_rng: ChaCha8Rng::seed_from_u64(!seed),
             messages: BTreeMap::new(),
             next_message: 0,
         };
@@ -113,6 +150,8 @@
         world
     }
 
+    /// Returns the number of hosts that take new flows.
+    #[must_use]
     pub fn ready(&self) -> usize {
         let is_ready = |host: &&Host| host.state == HostState::Ready;
         self.hosts.iter().filter(is_ready).count()
@@ -124,6 +163,7 @@
         self.versions.push(version);
     }
 
+    /// Starts the agent of a host, which knows the newest hosts.
     pub fn join(&mut self, index: usize) {
         let next = self.hosts[index].incarnation.0 + 1;
         self.hosts[index] = new_host(index, next);
@@ -132,6 +172,7 @@
         self.update_host(index, self.versions.len() - 1);
     }
 
+    /// Lets a host take no more flows.
     pub fn drain(&mut self, index: usize) {
         self.hosts[index].state = HostState::Draining;
         self.publish();
@@ -157,10 +198,12 @@
         self.publish();
     }
 
+    /// Brings a balancer to a version, unless it uses a later one.
     pub fn update_balancer(&mut self, index: usize, version: usize) {
         self.balancers[index] = self.balancers[index].max(version);
     }
 
+    /// Brings an agent to a version.
     pub fn update_host(&mut self, index: usize, version: usize) {
         let (now, host) = (self.now, &mut self.hosts[index]);
         if host.state == HostState::Absent {
@@ -229,11 +272,11 @@
         if !self.handover || is_cut {
             return;
         }
-        for _ in 0..=usize::from(self.rng.random_ratio(1, 20)) {
-            if self.rng.random_ratio(self.loss_percent, 100) {
+        for _ in 0..=usize::from(self.network_rng.random_ratio(1, 20)) {
+            if self.network_rng.random_ratio(self.loss_percent, 100) {
                 continue;
             }
-            let delay = Span::from_millis(self.rng.random_range(1..60));
+            let delay = Span::from_millis(self.network_rng.random_range(1..60));
             self.next_message += 1;
             let at = (self.now + delay, self.next_message);
             self.messages.insert(at, (to, message.clone()));
@@ -258,15 +301,20 @@
     }
 }
 
+/// Returns the identity of a host.
+#[must_use]
 pub fn host_id(index: usize) -> HostId {
-    HostId(u32::try_from(index).expect("few hosts") + 1)
+    HostId(u32::try_from(index).unwrap_or(u32::MAX) + 1)
 }
 
+/// Returns the address of the sockets of a host.
+#[must_use]
 pub fn address(index: usize) -> SocketAddr {
-    let port = u16::try_from(index).expect("few hosts") + 1;
-    SocketAddr::from(([127, 0, 0, 1], port))
+    SocketAddr::from(([127, 0, 0, 1], u16::try_from(index).unwrap_or(u16::MAX) + 1))
 }
 
+/// Returns the host with an address.
+#[must_use]
 pub fn host_of_address(address: SocketAddr) -> usize {
     usize::from(address.port()) - 1
 }
