cli: the operators' command

Cause: operators had no command to change the catalogue, to see what is in force, or to learn why a flow goes where it goes.

The driver runs changes::ChangeMachine against the store client. Balancers answer /explain from the table that the packet loop reads. Schema errors name the field and the range of integer types. `edit` has no $EDITOR form, because a process starts no other process.

--- /dev/null
+++ b/crates/cli/src/commands/changes.rs
@@ -0,0 +1,252 @@
+//! `apply`, `edit`, `delete` and `domain`.
+
+use {
+    crate::{
+        arguments::{ApplyOptions, DeleteOptions, DomainCommand, EditOptions},
+        commands::read::check_key,
+        context::{Context, new_operation},
+        driver::{self, Finished},
+        output::Output,
+        processes,
+    },
+    cardamomloom_coordination::changes::{Change, Intent, Outcome, check_schema},
+    cardamomloom_core::{
+        DomainName, ObjectVersion,
+        error::{Error, Result, invalid_argument, io},
+    },
+    cardamomloom_protocol::object::{
+        DOMAINS_PREFIX,
+        history::{OPERATION_FIELD, SUPERSEDED_FIELD, without_record},
+    },
+    jsonc_parser::{ParseOptions, parse_to_serde_value},
+    serde::Deserialize,
+    serde_json::{Map, Value, json},
+    std::{
+        fs,
+        io::{Read, stdin},
+        path::Path,
+        sync::Arc,
+    },
+};
+
+/// Object in a file, in the form that `get --json` prints.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct FileObject {
+    key: Arc<str>,
+    /// Version that the operator saw; the write fails when another one is present.
+    #[serde(default)]
+    version: Option<ObjectVersion>,
+    value: Value,
+}
+
+const MAX_FILE_OBJECTS: usize = 1_000;
+
+/// Writes the objects of a file, one after the other.
+pub async fn apply(context: &Context, options: &ApplyOptions) -> Result<Output> {
+    let objects = parse_file(&read_file(&options.file)?)?;
+    // Every object is checked before the first one is written.
+    for object in &objects {
+        check_key(&object.key)?;
+        check_schema(&object.key, &without_record(&object.value))?;
+    }
+    let mut finished = Vec::new();
+    for object in objects {
+        let change = Change {
+            key: object.key,
+            intent: Intent::Replace(object.value),
+            operation: new_operation(),
+            seen: object.version,
+            force: context.force,
+            dry_run: options.dry_run,
+        };
+        match driver::run(context, change).await {
+            Ok(done) => finished.push(done),
+            Err(error) => return Err(after_others(error, &finished)),
+        }
+    }
+    report(context, finished).await
+}
+
+/// Sets fields of an object.
+pub async fn edit(context: &Context, options: &EditOptions) -> Result<Output> {
+    check_key(&options.key)?;
+    if options.set.is_empty() {
+        return Err(invalid_argument(
+            "arguments: field \"--set\" is not given; allowed is one or more FIELD=VALUE",
+        ));
+    }
+    let mut fields = Map::new();
+    for assignment in &options.set {
+        let (name, value) = parse_assignment(assignment)?;
+        fields.insert(name, value);
+    }
+    let change = Change {
+        key: Arc::from(options.key.as_str()),
+        intent: Intent::Set(fields),
+        operation: new_operation(),
+        seen: options.seen,
+        force: context.force,
+        dry_run: options.dry_run,
+    };
+    one(context, change).await
+}
+
+/// Deletes an object.
+pub async fn delete(context: &Context, options: &DeleteOptions) -> Result<Output> {
+    check_key(&options.key)?;
+    let change = Change {
+        key: Arc::from(options.key.as_str()),
+        intent: Intent::Delete,
+        operation: new_operation(),
+        seen: options.seen,
+        force: context.force,
+        dry_run: false,
+    };
+    one(context, change).await
+}
+
+/// Takes a failure domain out, or back in.
+pub async fn domain(context: &Context, command: Option<DomainCommand>) -> Result<Output> {
+    let (name, state, reason) = match command {
+        Some(DomainCommand::Out(options)) if options.reason.trim().is_empty() => {
+            return Err(invalid_argument(format!(
+                "arguments: field \"--reason\" is {:?}; allowed is a text of 1 to 512 bytes",
+                options.reason
+            )));
+        }
+        Some(DomainCommand::Out(options)) => (options.name, "out", options.reason),
+        Some(DomainCommand::In(options)) => (options.name, "in", String::new()),
+        None => {
+            return Err(invalid_argument(
+                "arguments: domain needs a command; allowed are out and in",
+            ));
+        }
+    };
+    let name: DomainName = name.parse()?;
+    let mut fields = Map::new();
+    fields.insert("state".to_owned(), Value::from(state));
+    fields.insert("reason".to_owned(), Value::from(reason));
+    let change = Change {
+        key: Arc::from(format!("{DOMAINS_PREFIX}{name}")),
+        intent: Intent::Set(fields),
+        operation: new_operation(),
+        seen: None,
+        force: context.force,
+        dry_run: false,
+    };
+    one(context, change).await
+}
+
+async fn one(context: &Context, change: Change) -> Result<Output> {
+    let finished = driver::run(context, change).await?;
+    report(context, vec![finished]).await
+}
+
+/// Prints what happened, after the wait for the changes to be in force.
+async fn report(context: &Context, finished: Vec<Finished>) -> Result<Output> {
+    let mut text = String::new();
+    let mut changes = Vec::new();
+    for change in finished {
+        text.push_str(&describe(&change));
+        let mut shown = change.json.clone();
+        let is_written = !matches!(change.outcome, Outcome::Tried(_));
+        if let Some(timeout) = context.wait.filter(|_| is_written) {
+            let count =
+                processes::wait_in_force(context, &change.key, change.target, timeout).await?;
+            text.push_str(&in_force(&change.key, count));
+            shown["in_force_at"] = json!(count);
+        }
+        changes.push(shown);
+    }
+    Ok(Output {
+        text,
+        json: json!({ "changes": changes }),
+    })
+}
+
+fn describe(change: &Finished) -> String {
+    let key = &change.key;
+    let mut text = match &change.outcome {
+        Outcome::Done(Some(version)) => format!("{key}: done, version {version}\n"),
+        Outcome::Done(None) => format!("{key}: done\n"),
+        Outcome::Unchanged(version) => {
+            format!("{key}: unchanged, version {version} already has these values\n")
+        }
+        Outcome::Tried(_) => format!("{key}: would change, nothing was written\n"),
+        Outcome::NotDone(_) | Outcome::Unknown { .. } => String::new(),
+    };
+    for difference in &change.differences {
+        text.push_str("  ");
+        text.push_str(&difference.to_string());
+        text.push('\n');
+    }
+    text
+}
+
+fn after_others(mut error: Error, finished: &[Finished]) -> Error {
+    if !finished.is_empty() {
+        let done: Vec<&str> = finished.iter().map(|done| done.key.as_ref()).collect();
+        error.message = Arc::from(format!(
+            "{} (already done before it: {})",
+            error.message,
+            done.join(", ")
+        ));
+    }
+    error
+}
+
+fn read_file(path: &Path) -> Result<String> {
+    let failed =
+        |error: std::io::Error| io(format!("apply: cannot read {}: {error}", path.display()));
+    if path == Path::new("-") {
+        let mut text = String::new();
+        stdin().read_to_string(&mut text).map_err(failed)?;
+        return Ok(text);
+    }
+    fs::read_to_string(path).map_err(failed)
+}
+
+fn parse_file(text: &str) -> Result<Vec<FileObject>> {
+    let value: Value = parse_to_serde_value(text, &ParseOptions::default())
+        .map_err(|error| invalid_argument(format!("apply: {error}")))?;
+    let values = match value {
+        Value::Array(values) => values,
+        value => vec![value],
+    };
+    if values.is_empty() || values.len() > MAX_FILE_OBJECTS {
+        return Err(invalid_argument(format!(
+            "apply: the file has {} objects; allowed are 1 to {MAX_FILE_OBJECTS}",
+            values.len()
+        )));
+    }
+    values
+        .into_iter()
+        .map(|value| {
+            FileObject::deserialize(value).map_err(|error| {
+                invalid_argument(format!(
+                    "apply: {error}; allowed is an object with \"key\", \"value\" and optionally \"version\""
+                ))
+            })
+        })
+        .collect()
+}
+
+fn parse_assignment(assignment: &str) -> Result<(String, Value)> {
+    let Some((name, text)) = assignment.split_once('=') else {
+        return Err(invalid_argument(format!(
+            "arguments: field \"--set\" is {assignment:?}; allowed is FIELD=VALUE"
+        )));
+    };
+    if name.is_empty() || [OPERATION_FIELD, SUPERSEDED_FIELD, "name"].contains(&name) {
+        return Err(invalid_argument(format!(
+            "arguments: field \"--set\" names {name:?}; allowed are the fields of the object without name, {OPERATION_FIELD} and {SUPERSEDED_FIELD}"
+        )));
+    }
+    let value = serde_json::from_str(text).unwrap_or_else(|_| Value::from(text));
+    Ok((name.to_owned(), value))
+}
+
+fn in_force(key: &str, count: usize) -> String {
+    format!("{key}: in force at all {count} registered balancers\n")
+}
--- /dev/null
+++ b/crates/cli/src/commands/mod.rs
@@ -0,0 +1,32 @@
+//! The commands.
+
+mod changes;
+mod explain;
+mod read;
+mod status;
+
+use {
+    crate::{arguments::Command, context::Context, output::Output},
+    cardamomloom_core::error::{Result, invalid_argument},
+};
+
+/// Runs a command.
+///
+/// # Errors
+///
+/// Fails with the kind that decides the exit code.
+pub async fn run(context: &Context, command: Option<Command>) -> Result<Output> {
+    match command {
+        Some(Command::Get(options)) => read::get(context, &options).await,
+        Some(Command::List(options)) => read::list(context, &options).await,
+        Some(Command::Apply(options)) => changes::apply(context, &options).await,
+        Some(Command::Edit(options)) => changes::edit(context, &options).await,
+        Some(Command::Delete(options)) => changes::delete(context, &options).await,
+        Some(Command::Domain(options)) => changes::domain(context, options.command).await,
+        Some(Command::Status(_)) => status::status(context).await,
+        Some(Command::Explain(options)) => explain::explain(context, &options).await,
+        None => Err(invalid_argument(
+            "arguments: a command is required; see --help",
+        )),
+    }
+}
--- /dev/null
+++ b/crates/cli/src/commands/status.rs
@@ -0,0 +1,192 @@
+//! `status`: versions in force, who lags and what is degraded.
+
+use {
+    crate::{
+        context::Context,
+        output::{Output, cell, table},
+        processes::{self, Answered},
+    },
+    cardamomloom_core::{ObjectVersion, error::Result},
+    cardamomloom_protocol::object::{DOMAINS_PREFIX, SERVICES_PREFIX},
+    serde_json::{Value, json},
+    std::collections::BTreeMap,
+};
+
+/// A balancer with what it lacks.
+struct Node<'a> {
+    answered: &'a Answered,
+    state: &'static str,
+    /// Key, version in force and version of the store.
+    lags: Vec<(String, ObjectVersion, ObjectVersion)>,
+}
+
+/// Compares the versions in force at every balancer with those of the store.
+pub async fn status(context: &Context) -> Result<Output> {
+    let stored = stored(context).await;
+    let nodes = processes::balancers(context).await?;
+    let answers = processes::ask(context, nodes, "/status", &[]).await;
+    let empty = BTreeMap::new();
+    let wanted = stored.as_ref().unwrap_or(&empty);
+    let nodes: Vec<Node> = answers
+        .iter()
+        .map(|answered| view(answered, wanted))
+        .collect();
+    let mut degraded = degraded(&nodes);
+    if let Err(error) = &stored {
+        degraded.insert(0, format!("store: {}", error.message));
+    }
+    Ok(Output {
+        text: text(&nodes, wanted, &degraded),
+        json: json!({
+            "objects": wanted,
+            "balancers": nodes.iter().map(shown).collect::<Vec<_>>(),
+            "degraded": degraded,
+        }),
+    })
+}
+
+async fn stored(context: &Context) -> Result<BTreeMap<String, ObjectVersion>> {
+    let mut versions = BTreeMap::new();
+    for prefix in [SERVICES_PREFIX, DOMAINS_PREFIX] {
+        let list = context.store.list(prefix).await?;
+        versions.extend(
+            list.objects
+                .iter()
+                .map(|object| (object.key.to_string(), object.version)),
+        );
+    }
+    Ok(versions)
+}
+
+fn view<'a>(answered: &'a Answered, wanted: &BTreeMap<String, ObjectVersion>) -> Node<'a> {
+    let Ok(status) = &answered.answer else {
+        return Node {
+            answered,
+            state: "no answer",
+            lags: Vec::new(),
+        };
+    };
+    let versions = processes::versions(status);
+    let lags = wanted
+        .iter()
+        .filter_map(|(key, version)| {
+            let present = versions.get(key).copied().unwrap_or_default();
+            (present < *version).then(|| (key.clone(), present, *version))
+        })
+        .collect();
+    Node {
+        answered,
+        state: if status["stopping"] == true {
+            "stopping"
+        } else {
+            "running"
+        },
+        lags,
+    }
+}
+
+fn degraded(nodes: &[Node]) -> Vec<String> {
+    let mut found = Vec::new();
+    for node in nodes {
+        let name = &node.answered.name;
+        match &node.answered.answer {
+            Err(error) => found.push(format!("{name}: {}", error.message)),
+            Ok(status) => {
+                for object in list(&status["objects_invalid"]) {
+                    found.push(format!(
+                        "{name}: {} version {} is invalid and not in force: {}",
+                        cell(&object["key"]),
+                        cell(&object["version"]),
+                        cell(&object["reason"])
+                    ));
+                }
+                for problem in list(&status["problems"]) {
+                    found.push(format!("{name}: {}", cell(problem)));
+                }
+                for domain in list(&status["domains_out"]) {
+                    found.push(format!("{name}: failure domain {} is out", cell(domain)));
+                }
+            }
+        }
+        for (key, present, wanted) in &node.lags {
+            found.push(format!(
+                "{name}: lags: {key} has version {present}, the store has {wanted}"
+            ));
+        }
+    }
+    found
+}
+
+fn list(value: &Value) -> &[Value] {
+    value.as_array().map_or(&[], Vec::as_slice)
+}
+
+fn shown(node: &Node) -> Value {
+    let lags: Vec<Value> = node
+        .lags
+        .iter()
+        .map(|(key, present, wanted)| json!({"key": key, "version": present, "stored": wanted}))
+        .collect();
+    json!({
+        "node": node.answered.name,
+        "domain": node.answered.domain,
+        "http_address": node.answered.address,
+        "state": node.state,
+        "lags": lags,
+        "status": node.answered.answer.as_ref().ok(),
+    })
+}
+
+fn text(nodes: &[Node], wanted: &BTreeMap<String, ObjectVersion>, degraded: &[String]) -> String {
+    let rows: Vec<Vec<String>> = nodes
+        .iter()
+        .map(|node| {
+            let status = node.answered.answer.as_ref();
+            let hosts = status.map_or(0, |status| list(&status["hosts"]).len());
+            vec![
+                node.answered.name.clone(),
+                node.answered.domain.clone(),
+                node.answered.address.to_string(),
+                node.state.to_owned(),
+                hosts.to_string(),
+                if status.is_err() {
+                    "unknown".to_owned()
+                } else {
+                    node.lags.len().to_string()
+                },
+            ]
+        })
+        .collect();
+    let objects: Vec<Vec<String>> = wanted
+        .iter()
+        .map(|(key, version)| {
+            let has = |node: &&Node| {
+                let status = node.answered.answer.as_ref();
+                status.is_ok_and(|status| {
+                    processes::versions(status)
+                        .get(key)
+                        .is_some_and(|present| present >= version)
+                })
+            };
+            let count = nodes.iter().filter(has).count();
+            vec![
+                key.clone(),
+                version.to_string(),
+                format!("{count} of {}", nodes.len()),
+            ]
+        })
+        .collect();
+    let degraded = if degraded.is_empty() {
+        "nothing is degraded\n".to_owned()
+    } else {
+        format!("degraded:\n  {}\n", degraded.join("\n  "))
+    };
+    format!(
+        "{}\n{}\n{degraded}",
+        table(
+            &["BALANCER", "DOMAIN", "ENDPOINT", "STATE", "HOSTS", "LAGS"],
+            &rows
+        ),
+        table(&["OBJECT", "VERSION", "IN FORCE AT"], &objects),
+    )
+}
--- /dev/null
+++ b/crates/cli/tests/command/common/mod.rs
@@ -0,0 +1,160 @@
+//! The command as a real process against the stand-in store and endpoints in this process.
+
+use {
+    cardamomloom_core::ObjectVersion,
+    cardamomloom_standins::store::Store,
+    cardamomloom_transport::http::{self, Inspect},
+    serde_json::{Value, json},
+    std::{
+        error::Error,
+        net::SocketAddr,
+        process::Command,
+        sync::{
+            Arc, Mutex, PoisonError,
+            atomic::{AtomicUsize, Ordering},
+        },
+    },
+    tokio::{net::TcpListener, runtime::Runtime},
+};
+
+pub type Result<T> = std::result::Result<T, Box<dyn Error>>;
+
+/// A store, and the endpoints of processes, served by this process.
+pub struct World {
+    pub store: Store,
+    pub store_url: String,
+    runtime: Runtime,
+}
+
+/// What one run of the command answered.
+#[derive(Debug)]
+pub struct Ran {
+    pub code: i32,
+    pub stdout: String,
+    pub stderr: String,
+}
+
+/// Endpoints whose answers a test sets.
+#[derive(Default)]
+pub struct Endpoint {
+    /// Number of calls to `/status` from which each answer is given.
+    statuses: Mutex<Vec<(usize, Value)>>,
+    calls: AtomicUsize,
+}
+
+impl Endpoint {
+    pub fn set_status(&self, status: Value) {
+        *self.statuses.lock().unwrap_or_else(PoisonError::into_inner) = vec![(0, status)];
+    }
+
+    /// Answers with `status` after a number of further calls.
+    pub fn set_status_after(&self, calls: usize, status: Value) {
+        let from = self.calls.load(Ordering::Relaxed) + calls;
+        self.statuses
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .push((from, status));
+    }
+}
+
+impl Inspect for Endpoint {
+    fn is_ready(&self) -> bool {
+        true
+    }
+
+    fn metrics(&self) -> String {
+        String::new()
+    }
+
+    fn status(&self) -> Value {
+        let call = self.calls.fetch_add(1, Ordering::Relaxed);
+        let statuses = self.statuses.lock().unwrap_or_else(PoisonError::into_inner);
+        let due = statuses.iter().rfind(|(from, _)| *from <= call);
+        due.map(|(_, status)| status.clone()).unwrap_or_default()
+    }
+}
+
+impl World {
+    pub fn start() -> Result<Self> {
+        let runtime = Runtime::new()?;
+        let store = Store::default();
+        let listener = runtime.block_on(TcpListener::bind("127.0.0.1:0"))?;
+        let store_url = format!("http://{}", listener.local_addr()?);
+        runtime.spawn(store.clone().serve(listener));
+        Ok(Self {
+            store,
+            store_url,
+            runtime,
+        })
+    }
+
+    /// Serves endpoints and returns their address.
+    pub fn serve(&self, endpoint: Arc<Endpoint>) -> Result<SocketAddr> {
+        let listener = self.runtime.block_on(TcpListener::bind("127.0.0.1:0"))?;
+        let address = listener.local_addr()?;
+        self.runtime
+            .spawn(http::serve(listener, endpoint, std::future::pending()));
+        Ok(address)
+    }
+
+    /// Registers a balancer with these endpoints.
+    pub fn register(&self, node: u64, http_address: SocketAddr) -> Result<()> {
+        let value = json!({
+            "node": node, "domain": "tas-hobart", "incarnation": 1,
+            "data_address": "127.0.0.1:1", "control_address": "127.0.0.1:2",
+            "http_address": http_address,
+        });
+        self.write(&format!("nodes/n-{node:x}"), value)
+    }
+
+    /// Creates an object.
+    pub fn write(&self, key: &str, value: Value) -> Result<()> {
+        self.store
+            .write(key, ObjectVersion(0), Some(value))
+            .map_err(|present| format!("{key} exists: {present:?}"))?;
+        Ok(())
+    }
+
+    pub fn value(&self, key: &str) -> Value {
+        self.store
+            .read(key)
+            .and_then(|object| object.value)
+            .unwrap_or_default()
+    }
+
+    pub fn version(&self, key: &str) -> u64 {
+        self.store.read(key).map_or(0, |object| object.version.0)
+    }
+
+    /// Runs the command with `arguments` after the option that names the store.
+    pub fn run(&self, arguments: &[&str]) -> Result<Ran> {
+        let output = Command::new(env!("CARGO_BIN_EXE_cardamomloom"))
+            .args(["--store", &self.store_url])
+            .args(arguments)
+            .output()?;
+        Ok(Ran {
+            code: output.status.code().unwrap_or(-1),
+            stdout: String::from_utf8(output.stdout)?,
+            stderr: String::from_utf8(output.stderr)?,
+        })
+    }
+
+    /// Runs the command, checks its exit code and returns what it printed.
+    pub fn expect(&self, code: i32, arguments: &[&str]) -> Result<String> {
+        let ran = self.run(arguments)?;
+        assert_eq!(ran.code, code, "{arguments:?}: {ran:?}");
+        Ok(ran.stdout + &ran.stderr)
+    }
+}
+
+pub fn service() -> Value {
+    json!({
+        "name": "bookings", "id": 1, "owner": "nets", "class": "critical",
+        "addresses": ["203.0.113.1"], "port": 80, "slots_per_host": 4,
+        "connections_per_slot": 2_000, "hash_key": "00112233445566778899aabbccddeeff",
+    })
+}
+
+pub fn domain(name: &str) -> Value {
+    json!({"name": name, "region": "tas", "state": "in"})
+}
--- /dev/null
+++ b/crates/cli/tests/command/views.rs
@@ -0,0 +1,112 @@
+//! What the command shows of running processes.
+
+use {
+    crate::common::{Endpoint, Result, World, domain, service},
+    serde_json::{Value, json},
+    std::sync::Arc,
+};
+
+fn status(version: u64) -> Value {
+    json!({
+        "stopping": false, "hosts": [],
+        "objects": [{"key": "domains/tas-hobart", "version": version}],
+    })
+}
+
+/// Guards against a wait that ends before the change is in force everywhere, or that does not say
+/// who lacks it.
+#[test]
+fn verify_wait_names_who_lacks_the_change() -> Result<()> {
+    let world = World::start()?;
+    world.write("domains/tas-hobart", domain("tas-hobart"))?;
+    world.write("domains/tas-devonport", domain("tas-devonport"))?;
+    let nodes = [Arc::new(Endpoint::default()), Arc::new(Endpoint::default())];
+    for (id, node) in (1..).zip(&nodes) {
+        node.set_status(status(1));
+        world.register(id, world.serve(node.clone())?)?;
+    }
+    nodes[0].set_status(status(5));
+    let out = [
+        "--wait-timeout-ms",
+        "400",
+        "domain",
+        "out",
+        "tas-hobart",
+        "--reason",
+        "flood",
+        "--wait",
+    ];
+    let late = world.expect(8, &out)?;
+    assert!(
+        late.contains("version 5 or later is not yet in force at: n-2 (has version 1)"),
+        "{late}"
+    );
+
+    // The second balancer takes up the change while the command waits.
+    nodes[0].set_status(status(6));
+    nodes[1].set_status_after(3, status(6));
+    let back = world.expect(0, &["domain", "in", "tas-hobart", "--wait"])?;
+    assert!(
+        back.contains("in force at all 2 registered balancers"),
+        "{back}"
+    );
+    Ok(())
+}
+
+/// Guards against a status that hides who lags and what is degraded.
+#[test]
+fn verify_status_names_lag_and_degradation() -> Result<()> {
+    let world = World::start()?;
+    world.write("domains/tas-hobart", domain("tas-hobart"))?;
+    let node = Arc::new(Endpoint::default());
+    let mut behind = status(0);
+    behind["objects_invalid"] =
+        json!([{"key": "services/x", "version": 9, "reason": "field \"port\" is 0"}]);
+    behind["problems"] = json!(["routing: service y states id 1, which service x has"]);
+    behind["domains_out"] = json!(["tas-devonport"]);
+    node.set_status(behind);
+    world.register(1, world.serve(node)?)?;
+    let gone = "127.0.0.1:9".parse()?;
+    world.register(2, gone)?;
+
+    let shown = world.expect(0, &["status"])?;
+    for part in [
+        "n-1: lags: domains/tas-hobart has version 0, the store has 1",
+        "n-1: services/x version 9 is invalid and not in force: field \"port\" is 0",
+        "n-1: routing: service y states id 1, which service x has",
+        "n-1: failure domain tas-devonport is out",
+        "n-2: http: no answer of 127.0.0.1:9",
+    ] {
+        assert!(shown.contains(part), "{part}: {shown}");
+    }
+    let json: Value = serde_json::from_str(&world.expect(0, &["status", "--json"])?)?;
+    assert_eq!(json["balancers"][0]["lags"][0]["stored"], 1);
+    assert_eq!(json["balancers"][1]["state"], "no answer");
+    Ok(())
+}
+
+/// Guards against options that are not available everywhere.
+#[test]
+fn verify_help_version_and_json_errors() -> Result<()> {
+    let world = World::start()?;
+    for arguments in [
+        &["--help"][..],
+        &["domain", "out", "--help"],
+        &["apply", "-h"],
+    ] {
+        let help = world.expect(0, arguments)?;
+        assert!(help.contains("Usage: cardamomloom"), "{help}");
+    }
+    assert!(
+        world
+            .expect(0, &["--version"])?
+            .starts_with("cardamomloom 0")
+    );
+    let error: Value = serde_json::from_str(&world.expect(3, &["get", "services/x", "--json"])?)?;
+    assert_eq!(error["error"]["kind"], "not_found");
+    assert_eq!(error["error"]["exit_code"], 3);
+    world.write("services/bookings", service())?;
+    let list = world.expect(0, &["list", "services/"])?;
+    assert!(list.contains("id=1 class=critical"), "{list}");
+    Ok(())
+}
--- a/crates/coordination/src/changes/mod.rs
+++ b/crates/coordination/src/changes/mod.rs
@@ -125,8 +125,8 @@
 /// How a change ended.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Outcome {
-    /// The write took effect; the version is absent when others have written since, and for a
-    /// deletion.
+    /// The write took effect; the version is absent when the answer was lost and others have
+    /// written since, or the object was deleted.
     Done(Option<ObjectVersion>),
     /// The object already has the wanted value.
     Unchanged(ObjectVersion),
@@ -301,10 +301,7 @@
 
     fn on_written(&mut self, now: Time, written: Written) -> Action {
         match (written, self.settle_until) {
-            (Written::Accepted(version), _) => {
-                let version = self.own.is_some().then_some(version);
-                finish(Outcome::Done(version))
-            }
+            (Written::Accepted(version), _) => finish(Outcome::Done(Some(version))),
             // Without an earlier lost write, the answer of the store is the whole truth.
             (Written::Conflict(present), None) => self.report_conflict(present.as_ref()),
             (Written::Refused(error), None) => finish(Outcome::NotDone(error)),
--- a/crates/daemon/src/balancer/mod.rs
+++ b/crates/daemon/src/balancer/mod.rs
@@ -38,6 +38,7 @@
 pub fn run(settings: &Settings, balancer: &BalancerSettings, shell: Shell) -> Result<()> {
     let node = node_id(shell.control_address);
     let routing = Arc::new(ArcSwap::from_pointee(RoutingTable::default()));
+    shell.inspect.set_routing(routing.clone());
     let packets = packet_loop::spawn(
         shell.data_socket,
         routing.clone(),
--- a/crates/daemon/src/inspect/mod.rs
+++ b/crates/daemon/src/inspect/mod.rs
@@ -1,10 +1,16 @@
 //! State that a daemon shows on its operator endpoints.
 
+mod explain;
+
 use {
+    arc_swap::ArcSwap,
+    cardamomloom_core::error::Result,
+    cardamomloom_protocol::packet::FlowKey,
+    cardamomloom_state::routing::RoutingTable,
     cardamomloom_transport::http::Inspect,
     metrics_exporter_prometheus::PrometheusHandle,
     std::sync::{
-        Mutex, PoisonError,
+        Arc, Mutex, OnceLock, PoisonError,
         atomic::{AtomicBool, Ordering},
     },
 };
@@ -14,6 +20,7 @@
     ready: AtomicBool,
     status: Mutex<serde_json::Value>,
     metrics: PrometheusHandle,
+    routing: OnceLock<Arc<ArcSwap<RoutingTable>>>,
 }
 
 impl DaemonInspect {
@@ -24,9 +31,16 @@
             ready: AtomicBool::new(false),
             status: Mutex::new(serde_json::Value::Null),
             metrics,
+            routing: OnceLock::new(),
         }
     }
 
+    /// Sets the routing table that `/explain` reads; a process that never does routes nothing.
+    pub fn set_routing(&self, routing: Arc<ArcSwap<RoutingTable>>) {
+        // A second call has no effect; the table itself is replaced inside the first.
+        let _ = self.routing.set(routing);
+    }
+
     /// Sets whether the process takes traffic.
     pub fn set_ready(&self, ready: bool) {
         self.ready.store(ready, Ordering::Relaxed);
@@ -53,4 +67,8 @@
             .unwrap_or_else(PoisonError::into_inner)
             .clone()
     }
+
+    fn explain(&self, flow: &FlowKey) -> Result<serde_json::Value> {
+        explain::explain(self.routing.get(), flow)
+    }
 }
--- a/crates/protocol/src/object/mod.rs
+++ b/crates/protocol/src/object/mod.rs
@@ -49,12 +49,29 @@
     {
         fields.remove(history::SUPERSEDED_FIELD);
     }
-    let object = T::deserialize(value.as_ref())
-        .map_err(|error| invalid_argument(format!("object {key:?}: {error}")))?;
+    let object: T = serde_path_to_error::deserialize(value.as_ref()).map_err(|error| {
+        let reason = with_range(error.inner().to_string());
+        invalid_argument(match error.path().to_string().as_str() {
+            "." => format!("object {key:?}: {reason}"),
+            field => format!("object {key:?}: field {field:?}: {reason}"),
+        })
+    })?;
     object.check()?;
     Ok(object)
 }
 
+/// Replaces the names of integer types by their ranges.
+fn with_range(reason: String) -> String {
+    let ranges = [
+        ("expected u16", u64::from(u16::MAX)),
+        ("expected u32", u64::from(u32::MAX)),
+        ("expected u64", u64::MAX),
+    ];
+    ranges.iter().fold(reason, |reason, (name, max)| {
+        reason.replace(name, &format!("allowed is a number from 0 to {max}"))
+    })
+}
+
 /// Fails unless `value` lies within `min..=max`.
 fn check_range(field: &str, value: u64, min: u64, max: u64) -> Result<()> {
     if (min..=max).contains(&value) {
--- a/crates/transport/src/http/mod.rs
+++ b/crates/transport/src/http/mod.rs
@@ -1,9 +1,21 @@
-//! Operator endpoints of a process: `/livez`, `/readyz`, `/metrics` and `/status`.
+//! Operator endpoints of a process: `/livez`, `/readyz`, `/metrics`, `/status`, `/explain` and
+//! `/burn`.
+
+mod client;
+
+pub use client::InspectClient;
 
 use {
-    axum::{Json, Router, extract::State, http::StatusCode, routing::get},
-    cardamomloom_core::error::{Error, io},
-    std::{future::Future, net::SocketAddr, sync::Arc},
+    axum::{
+        Json, Router,
+        extract::{Query, State},
+        http::StatusCode,
+        response::{IntoResponse, Response},
+        routing::get,
+    },
+    cardamomloom_core::error::{Error, ErrorKind, invalid_argument, io},
+    cardamomloom_protocol::packet::FlowKey,
+    std::{collections::HashMap, future::Future, net::SocketAddr, sync::Arc},
     tokio::net::TcpListener,
 };
 
@@ -20,6 +32,24 @@
 
     /// Returns the state of the process.
     fn status(&self) -> serde_json::Value;
+
+    /// Tells why a flow goes where it goes.
+    ///
+    /// # Errors
+    ///
+    /// Fails with kind `not_found` when this process does not route, or no service has the
+    /// address.
+    fn explain(&self, _flow: &FlowKey) -> Result<serde_json::Value> {
+        Err(Error::new(
+            ErrorKind::NotFound,
+            "explain: this process routes no packets; ask a balancer",
+        ))
+    }
+
+    /// Returns the good and bad connections per service that this process counted.
+    fn burn(&self) -> serde_json::Value {
+        serde_json::json!({"uptime_s": 0, "services": []})
+    }
 }
 
 /// Binds the listener of the endpoints.
@@ -48,6 +78,8 @@
         .route("/readyz", get(readyz))
         .route("/metrics", get(metrics))
         .route("/status", get(status))
+        .route("/explain", get(explain))
+        .route("/burn", get(burn))
         .with_state(inspect);
     axum::serve(listener, router)
         .with_graceful_shutdown(stop)
@@ -70,3 +102,41 @@
 async fn status(State(inspect): State<Arc<dyn Inspect>>) -> Json<serde_json::Value> {
     Json(inspect.status())
 }
+
+async fn burn(State(inspect): State<Arc<dyn Inspect>>) -> Json<serde_json::Value> {
+    Json(inspect.burn())
+}
+
+async fn explain(
+    State(inspect): State<Arc<dyn Inspect>>,
+    Query(query): Query<HashMap<String, String>>,
+) -> Response {
+    let explained = flow_of(&query).and_then(|flow| inspect.explain(&flow));
+    match explained {
+        Ok(value) => Json(value).into_response(),
+        Err(error) => {
+            let answer = error.kind.answer();
+            let status =
+                StatusCode::from_u16(answer.http_status).unwrap_or(StatusCode::BAD_REQUEST);
+            let body = serde_json::json!({
+                "error": {"kind": answer.name, "message": error.message}
+            });
+            (status, Json(body)).into_response()
+        }
+    }
+}
+
+fn flow_of(query: &HashMap<String, String>) -> Result<FlowKey> {
+    let address = |field: &str| -> Result<SocketAddr> {
+        let text = query.get(field).map_or("", String::as_str);
+        text.parse().map_err(|_| {
+            invalid_argument(format!(
+                "explain: field {field:?} is {text:?}; allowed is an address with port such as 203.0.113.1:80"
+            ))
+        })
+    };
+    Ok(FlowKey {
+        caller: address("caller")?,
+        service: address("service")?,
+    })
+}
--- a/crates/transport/src/store/mod.rs
+++ b/crates/transport/src/store/mod.rs
@@ -186,10 +186,12 @@
                 Ok(WriteOutcome::Written(written.version))
             }
             StatusCode::SERVICE_UNAVAILABLE => Err(unexpected(response.status())),
-            status if status.is_server_error() => Err(Error::new(
-                ErrorKind::OutcomeUnknown,
-                format!("store: write of {key:?} was answered with status {status}"),
-            )),
+            status if status.is_server_error() || status == StatusCode::REQUEST_TIMEOUT => {
+                Err(Error::new(
+                    ErrorKind::OutcomeUnknown,
+                    format!("store: write of {key:?} was answered with status {status}"),
+                ))
+            }
             status => Err(unexpected(status)),
         }
     }
