Report service-level burn per service

Cause: the catalogue states an objective per service, and nothing compared it with what callers saw.

Change: an agent counts opened flows as good and opening packets that it refused as bad; a balancer counts opening packets without a candidate as bad. Each process samples its totals every 5 s into rings of 10 s and 5 min buckets (at most 1,224 per service) and answers /burn with sums over 5 min, 1 h, 6 h and 3 d. The packet loops publish totals through atomics and arc-swap and take no lock.

--- a/crates/cli/src/arguments/mod.rs
+++ b/crates/cli/src/arguments/mod.rs
@@ -112,6 +112,9 @@
     /// Explains a flow.
     #[options(help = "tell why a flow goes where it goes")]
     Explain(ExplainOptions),
+    /// Prints a report.
+    #[options(help = "print a report")]
+    Report(ReportOptions),
 }
 
 /// Options of `get`.
@@ -275,6 +278,38 @@
     pub service: String,
 }
 
+/// Options of `report`.
+#[derive(Debug, Options)]
+pub struct ReportOptions {
+    #[options(help = "print this help")]
+    help: bool,
+    /// Which report.
+    #[options(command, required)]
+    pub command: Option<ReportCommand>,
+}
+
+/// A report.
+#[derive(Debug, Options)]
+pub enum ReportCommand {
+    /// Burn of the error budgets.
+    #[options(help = "burn of the error budget of each service")]
+    Burn(BurnOptions),
+}
+
+/// Options of `report burn`.
+#[derive(Debug, Options)]
+pub struct BurnOptions {
+    #[options(help = "print this help")]
+    help: bool,
+    /// File for the plot.
+    #[options(
+        no_short,
+        help = "also write a plot of the burn rate per hour",
+        meta = "FILE.svg"
+    )]
+    pub plot: Option<PathBuf>,
+}
+
 /// What the arguments ask for.
 pub enum Parsed {
     /// Run a command.
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -3,6 +3,7 @@
 mod changes;
 mod explain;
 mod read;
+mod report;
 mod status;
 
 use {
@@ -25,6 +26,7 @@
         Some(Command::Domain(options)) => changes::domain(context, options.command).await,
         Some(Command::Status(_)) => status::status(context).await,
         Some(Command::Explain(options)) => explain::explain(context, &options).await,
+        Some(Command::Report(options)) => report::report(context, options.command).await,
         None => Err(invalid_argument(
             "arguments: a command is required; see --help",
         )),
--- a/crates/cli/tests/command/common/mod.rs
+++ b/crates/cli/tests/command/common/mod.rs
@@ -40,6 +40,7 @@
     /// Number of calls to `/status` from which each answer is given.
     statuses: Mutex<Vec<(usize, Value)>>,
     calls: AtomicUsize,
+    burn: Mutex<Value>,
 }
 
 impl Endpoint {
@@ -47,6 +48,10 @@
         *self.statuses.lock().unwrap_or_else(PoisonError::into_inner) = vec![(0, status)];
     }
 
+    pub fn set_burn(&self, burn: Value) {
+        *self.burn.lock().unwrap_or_else(PoisonError::into_inner) = burn;
+    }
+
     /// Answers with `status` after a number of further calls.
     pub fn set_status_after(&self, calls: usize, status: Value) {
         let from = self.calls.load(Ordering::Relaxed) + calls;
@@ -72,6 +77,13 @@
         let due = statuses.iter().rfind(|(from, _)| *from <= call);
         due.map(|(_, status)| status.clone()).unwrap_or_default()
     }
+
+    fn burn(&self) -> Value {
+        self.burn
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
 }
 
 impl World {
--- a/crates/cli/tests/command/views.rs
+++ b/crates/cli/tests/command/views.rs
@@ -3,7 +3,7 @@
 use {
     crate::common::{Endpoint, Result, World, domain, service},
     serde_json::{Value, json},
-    std::sync::Arc,
+    std::{fs, path::PathBuf, sync::Arc},
 };
 
 fn status(version: u64) -> Value {
@@ -110,3 +110,53 @@
     assert!(list.contains("id=1 class=critical"), "{list}");
     Ok(())
 }
+
+/// Guards against a burn report that leaves out processes, or that judges by one window only.
+#[test]
+fn verify_burn_adds_processes_and_judges_windows() -> Result<()> {
+    let world = World::start()?;
+    world.write("services/bookings", service())?;
+    let samples = |uptime_s: u64, sums: [(u64, u64); 4]| {
+        let windows: Vec<Value> = [300, 3_600, 21_600, 259_200]
+            .iter()
+            .zip(sums)
+            .map(|(window_s, (good, bad))| json!({"window_s": window_s, "good": good, "bad": bad}))
+            .collect();
+        json!({
+            "uptime_s": uptime_s,
+            "services": [{"service": 1, "windows": windows, "history": [windows[1].clone()]}],
+        })
+    };
+    let (balancer, agent) = (Arc::new(Endpoint::default()), Arc::new(Endpoint::default()));
+    balancer.set_burn(samples(50, [(0, 10), (0, 10), (0, 10), (0, 10)]));
+    agent.set_burn(samples(9_000, [(90, 0), (990, 0), (9_990, 0), (99_990, 0)]));
+    world.register(1, world.serve(balancer)?)?;
+    let agents = world.serve(agent)?.to_string();
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("burn.svg");
+    let plot = path.to_string_lossy();
+
+    let burn = [
+        "report", "burn", "--json", "--agents", &agents, "--plot", &plot,
+    ];
+    let report: Value = serde_json::from_str(&world.expect(0, &burn)?)?;
+    let rates: Vec<f64> = report["services"][0]["windows"]
+        .as_array()
+        .into_iter()
+        .flatten()
+        .filter_map(|window| window["burn_rate"].as_f64())
+        .collect();
+    // The objective is 99.9 %: 10 of 100, 1,000, 10,000 and 100,000 connections failed.
+    let expected = [100.0, 10.0, 1.0, 0.1];
+    assert_eq!(rates.len(), expected.len());
+    for (rate, expected) in rates.iter().zip(expected) {
+        assert!((rate - expected).abs() < 1e-9, "{rates:?}");
+    }
+    // The burst is over within the hour, so the 5 minutes alone do not page.
+    assert_eq!(report["services"][0]["urgency"], "none");
+    assert_eq!(report["covered_s"], 50);
+    let svg = fs::read_to_string(&path)?;
+    assert!(svg.starts_with("<svg") && svg.contains("bookings"), "{svg}");
+    let text = world.expect(0, &["report", "burn", "--agents", &agents])?;
+    assert!(text.contains("100.00 (10 of 100)"), "{text}");
+    Ok(())
+}
--- a/crates/coordination/src/agent/mod.rs
+++ b/crates/coordination/src/agent/mod.rs
@@ -85,6 +85,8 @@
     pub forwarded: u64,
     /// Flows refused with a reset.
     pub refused: u64,
+    /// Opening packets refused with a reset, because no candidate took the flow.
+    pub refused_opening: u64,
     /// Flows that ended.
     pub closed: u64,
     /// Attempts to connect that the backend server refused.
@@ -178,6 +180,7 @@
             }
             Decision::Refuse => {
                 self.counters.refused += 1;
+                self.counters.refused_opening += u64::from(meta.opens_flow());
                 if let Some(reset) = packet::reset_for(meta) {
                     io.send_to_caller(&reset);
                 }
--- a/crates/daemon/src/agent/mod.rs
+++ b/crates/daemon/src/agent/mod.rs
@@ -5,6 +5,7 @@
 
 use {
     crate::{
+        burn::AgentTotals,
         control::{Event, run as run_control},
         runtime::{Shell, watch_store},
         settings::{AgentSettings, Settings},
@@ -19,7 +20,7 @@
     std::{
         hash::{Hash, Hasher},
         net::SocketAddr,
-        sync::atomic::Ordering,
+        sync::{Arc, atomic::Ordering},
         time::Instant,
     },
 };
@@ -34,6 +35,9 @@
 /// Fails when a thread cannot be started.
 pub fn run(settings: &Settings, agent: &AgentSettings, shell: Shell) -> Result<()> {
     let host = host_id(agent, shell.control_address);
+    let burn = Arc::new(AgentTotals::default());
+    let recorder = shell.inspect.burn_recorder();
+    recorder.set_source(burn.clone().source());
     let loop_options = PacketLoopOptions {
         host,
         key: settings.datagram_key(),
@@ -41,6 +45,7 @@
         return_address: agent.return_address,
         clock: shell.clock,
         seed: shell.incarnation.0,
+        burn,
     };
     let (packets, commands) = packet_loop::spawn(
         shell.data_socket,
--- a/crates/daemon/src/agent/packet_loop.rs
+++ b/crates/daemon/src/agent/packet_loop.rs
@@ -1,7 +1,11 @@
 //! Packet loop of an agent: packets of callers and connections to the backend server.
 
 use {
-    crate::{balancer::DropCounters, control::Event},
+    crate::{
+        balancer::DropCounters,
+        burn::{AgentTotals, Totals},
+        control::Event,
+    },
     cardamomloom_coordination::{
         admission::FixedLimit,
         agent::{Agent, AgentCounters, AgentIo},
@@ -63,6 +67,8 @@
     pub clock: MonotonicClock,
     /// Seed of initial sequence numbers.
     pub seed: u64,
+    /// Good and bad connections, for the burn report.
+    pub burn: Arc<AgentTotals>,
 }
 
 /// Change of configuration for the packet loop.
@@ -295,6 +301,7 @@
             limit,
         } = command
         {
+            self.options.burn.set_service(id);
             let (host, seed) = (self.options.host, self.options.seed);
             let agent = self
                 .agent
@@ -343,6 +350,10 @@
         self.metrics
             .connect_failures
             .increment(counters.connect_failures - last.connect_failures);
+        self.options.burn.set(Totals {
+            good: counters.opened,
+            bad: counters.refused_opening,
+        });
         self.published = counters;
         let open = agent.flow_count();
         // A full queue only delays the next report.
--- a/crates/daemon/src/balancer/mod.rs
+++ b/crates/daemon/src/balancer/mod.rs
@@ -2,6 +2,7 @@
 
 mod control;
 mod packet_loop;
+mod refusals;
 
 pub use packet_loop::DropCounters;
 
@@ -39,10 +40,16 @@
     let node = node_id(shell.control_address);
     let routing = Arc::new(ArcSwap::from_pointee(RoutingTable::default()));
     shell.inspect.set_routing(routing.clone());
+    let refused = refusals::Published::default();
+    shell
+        .inspect
+        .burn_recorder()
+        .set_source(refusals::source(refused.clone()));
     let packets = packet_loop::spawn(
         shell.data_socket,
         routing.clone(),
         settings.datagram_key(),
+        refused,
         shell.stop.clone(),
     )?;
     for prefix in [SERVICES_PREFIX, DOMAINS_PREFIX] {
--- a/crates/daemon/src/balancer/packet_loop.rs
+++ b/crates/daemon/src/balancer/packet_loop.rs
@@ -1,6 +1,7 @@
 //! Packet loop of a balancer: receive a batch, route it, send it.
 
 use {
+    super::refusals::{Published, Refusals},
     arc_swap::ArcSwap,
     cardamomloom_coordination::balancer::{Route, route},
     cardamomloom_core::error::{Error, io},
@@ -54,12 +55,13 @@
     socket: UdpSocket,
     routing: Arc<ArcSwap<RoutingTable>>,
     key: DatagramKey,
+    refused: Published,
     stop: Arc<AtomicBool>,
 ) -> Result<thread::JoinHandle<()>> {
     udp::set_receive_timeout(&socket, RECEIVE_TIMEOUT)?;
     thread::Builder::new()
         .name("packets".to_owned())
-        .spawn(move || forward_packets(&socket, &routing, key, &stop))
+        .spawn(move || forward_packets(&socket, &routing, key, refused, &stop))
         .map_err(|error| io(format!("packet loop: cannot start a thread: {error}")))
 }
 
@@ -67,13 +69,16 @@
     socket: &UdpSocket,
     routing: &ArcSwap<RoutingTable>,
     key: DatagramKey,
+    refused: Published,
     stop: &AtomicBool,
 ) {
     let forwarded = metrics::counter!("cardamomloom_forwarded_packets_total");
     let drops = DropCounters::default();
+    let mut refusals = Refusals::new(refused);
     let mut received = ReceiveBatch::default();
     let mut sender = SendBatch::default();
     loop {
+        refusals.publish();
         match received.receive(socket, Wait::ForOne) {
             // The socket is drained before the loop ends, so that no packet that the fabric
             // already handed over is lost.
@@ -94,7 +99,12 @@
                     routes[count] = Some(route);
                     count += 1;
                 }
-                Err(cause) => drops.add(cause, 1),
+                Err(cause) => {
+                    drops.add(cause, 1);
+                    if cause == DropCause::NoCandidate {
+                        refusals.add(&table, datagram);
+                    }
+                }
             }
         }
         let outgoing: [Outgoing<'_>; BATCH] =
--- a/crates/daemon/src/inspect/mod.rs
+++ b/crates/daemon/src/inspect/mod.rs
@@ -3,11 +3,12 @@
 mod explain;
 
 use {
+    crate::burn::BurnRecorder,
     arc_swap::ArcSwap,
     cardamomloom_core::error::Result,
     cardamomloom_protocol::packet::FlowKey,
     cardamomloom_state::routing::RoutingTable,
-    cardamomloom_transport::http::Inspect,
+    cardamomloom_transport::{clock::MonotonicClock, http::Inspect},
     metrics_exporter_prometheus::PrometheusHandle,
     std::sync::{
         Arc, Mutex, OnceLock, PoisonError,
@@ -21,20 +22,28 @@
     status: Mutex<serde_json::Value>,
     metrics: PrometheusHandle,
     routing: OnceLock<Arc<ArcSwap<RoutingTable>>>,
+    burn: BurnRecorder,
 }
 
 impl DaemonInspect {
     /// Creates the state of a process that is not ready.
     #[must_use]
-    pub const fn new(metrics: PrometheusHandle) -> Self {
+    pub const fn new(metrics: PrometheusHandle, clock: MonotonicClock) -> Self {
         Self {
             ready: AtomicBool::new(false),
             status: Mutex::new(serde_json::Value::Null),
             metrics,
             routing: OnceLock::new(),
+            burn: BurnRecorder::new(clock),
         }
     }
 
+    /// Returns the recorder of good and bad connections.
+    #[must_use]
+    pub const fn burn_recorder(&self) -> &BurnRecorder {
+        &self.burn
+    }
+
     /// Sets the routing table that `/explain` reads; a process that never does routes nothing.
     pub fn set_routing(&self, routing: Arc<ArcSwap<RoutingTable>>) {
         // A second call has no effect; the table itself is replaced inside the first.
@@ -68,6 +77,10 @@
             .clone()
     }
 
+    fn burn(&self) -> serde_json::Value {
+        serde_json::to_value(self.burn.report()).unwrap_or_default()
+    }
+
     fn explain(&self, flow: &FlowKey) -> Result<serde_json::Value> {
         explain::explain(self.routing.get(), flow)
     }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod agent;
 pub mod balancer;
+pub mod burn;
 pub mod control;
 pub mod inspect;
 pub mod logging;
--- a/crates/daemon/src/runtime/mod.rs
+++ b/crates/daemon/src/runtime/mod.rs
@@ -8,6 +8,7 @@
 use {
     crate::{
         agent, balancer,
+        burn::SAMPLE_INTERVAL,
         control::{self, ControlSender, Event},
         inspect::DaemonInspect,
         settings::{Role, Settings},
@@ -93,10 +94,11 @@
 
 impl Shell {
     fn start(settings: &Settings) -> Result<Self> {
+        let clock = MonotonicClock::start();
         let metrics = PrometheusBuilder::new()
             .install_recorder()
             .map_err(|error| io(format!("metrics: {error}")))?;
-        let inspect = Arc::new(DaemonInspect::new(metrics));
+        let inspect = Arc::new(DaemonInspect::new(metrics, clock));
         let runtime = tokio::runtime::Builder::new_multi_thread()
             .worker_threads(1)
             .enable_all()
@@ -130,6 +132,7 @@
             inspect.clone(),
             std::future::pending(),
         ));
+        runtime.spawn(sample_burn(inspect.clone()));
         let store = StoreClient::new(&settings.store_url, StoreOptions::default())?;
         info!(
             event = "bound",
@@ -139,7 +142,7 @@
             "sockets are bound"
         );
         Ok(Self {
-            clock: MonotonicClock::start(),
+            clock,
             data_socket,
             data_address,
             control_address,
@@ -156,6 +159,15 @@
     }
 }
 
+/// Samples the connection totals until the process ends.
+async fn sample_burn(inspect: Arc<DaemonInspect>) {
+    let mut interval = tokio::time::interval(SAMPLE_INTERVAL.to_duration());
+    loop {
+        interval.tick().await;
+        inspect.burn_recorder().sample();
+    }
+}
+
 /// Turns the first SIGTERM or SIGINT into a stop event.
 fn spawn_signal_thread(events: SyncSender<Event>) -> Result<()> {
     let mut signals = Signals::new([SIGTERM, SIGINT])
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -1,5 +1,6 @@
 //! State that decisions read: host entries, the catalogue in force and candidate tables.
 
+pub mod burn;
 pub mod candidates;
 pub mod catalogue;
 pub mod hosts;
