--- a/crates/standins/src/demo/installation.rs
+++ b/crates/standins/src/demo/installation.rs
@@ -252,6 +252,13 @@
         Ok(())
     }
 
+    /// Returns the operator endpoints of the agents.
+    #[must_use]
+    pub fn agent_endpoints(&self) -> Vec<SocketAddr> {
+        let hosts = self.hosts.iter().flatten();
+        hosts.map(|host| host.agent.target.http_address).collect()
+    }
+
     /// Returns the addresses of every UDP socket and every operator endpoint of all daemons.
     #[must_use]
     pub fn daemon_addresses(&self) -> Vec<SocketAddr> {
