--- a/crates/daemon/src/agent/packet_loop.rs
+++ b/crates/daemon/src/agent/packet_loop.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         balancer::DropCounters,
+        burn::{AgentTotals, Totals},
         control::{ControlSender, Event},
     },
     cardamomloom_coordination::{
@@ -70,6 +71,8 @@
     pub seed: u64,
     /// Sender of handover messages.
     pub control: ControlSender,
+    /// Good and bad connections, for the burn report.
+    pub burn: Arc<AgentTotals>,
 }
 
 /// Change of configuration for the packet loop.
@@ -307,6 +310,7 @@
             limit,
         } = command
         {
+            self.options.burn.set_service(id);
             let (host, seed) = (self.options.host, self.options.seed);
             let agent = self
                 .agent
@@ -362,6 +366,10 @@
         self.metrics
             .connect_failures
             .increment(counters.connect_failures - last.connect_failures);
+        self.options.burn.set(Totals {
+            good: counters.opened,
+            bad: counters.refused_opening,
+        });
         self.published = counters;
         let open = agent.flow_count();
         // A full queue only delays the next report.
