balancer: drop malformed packets without an allocation

Decoding the encapsulation built an error with a heap message for every malformed packet, which the packet loop threw away: 2 allocations in a burst with 2 malformed packets. The loop now uses a decoder that returns a static message.

--- a/crates/coordination/src/balancer/mod.rs
+++ b/crates/coordination/src/balancer/mod.rs
@@ -30,7 +30,7 @@
 ///
 /// Returns the cause under which the packet is counted and dropped.
 pub fn route<'a>(table: &RoutingTable, key: DatagramKey, datagram: &'a [u8]) -> Result<Route<'a>> {
-    let packet = gue::decode(datagram).map_err(|_| DropCause::BadEncapsulation)?;
+    let packet = gue::payload(datagram).map_err(|_| DropCause::BadEncapsulation)?;
     let meta = packet::parse(packet)?;
     let candidates = table
         .lookup(&meta.flow.service)
--- a/crates/daemon/src/balancer/mod.rs
+++ b/crates/daemon/src/balancer/mod.rs
@@ -1,7 +1,7 @@
 //! The balancer role.
 
 mod control;
-mod packet_loop;
+pub mod packet_loop;
 
 pub use packet_loop::DropCounters;
 
--- a/crates/daemon/src/balancer/packet_loop.rs
+++ b/crates/daemon/src/balancer/packet_loop.rs
@@ -59,16 +59,22 @@
     udp::set_receive_timeout(&socket, RECEIVE_TIMEOUT)?;
     thread::Builder::new()
         .name("packets".to_owned())
-        .spawn(move || forward_packets(&socket, &routing, key, &stop))
+        .spawn(move || {
+            forward_packets(&socket, &routing, key, &stop);
+        })
         .map_err(|error| io(format!("packet loop: cannot start a thread: {error}")))
 }
 
-fn forward_packets(
+/// Forwards packets until `stop` is set and the socket is empty, and returns how many were sent.
+///
+/// The socket needs a receive timeout, after which the loop looks at `stop`.
+pub fn forward_packets(
     socket: &UdpSocket,
     routing: &ArcSwap<RoutingTable>,
     key: DatagramKey,
     stop: &AtomicBool,
-) {
+) -> u64 {
+    let mut total = 0;
     let forwarded = metrics::counter!("cardamomloom_forwarded_packets_total");
     let drops = DropCounters::default();
     let mut received = ReceiveBatch::default();
@@ -77,7 +83,7 @@
         match received.receive(socket, Wait::ForOne) {
             // The socket is drained before the loop ends, so that no packet that the fabric
             // already handed over is lost.
-            Ok(0) if stop.load(Ordering::Relaxed) => return,
+            Ok(0) if stop.load(Ordering::Relaxed) => return total,
             Ok(0) => continue,
             Ok(_) => {}
             Err(error) => {
@@ -101,6 +107,7 @@
             std::array::from_fn(|index| to_outgoing(routes[index].as_ref()));
         let sent = sender.send(socket, &outgoing[..count]);
         forwarded.increment(sent as u64);
+        total += sent as u64;
         drops.add(DropCause::SendFailed, (count - sent) as u64);
     }
 }
--- a/crates/protocol/src/gue/mod.rs
+++ b/crates/protocol/src/gue/mod.rs
@@ -18,21 +18,30 @@
 /// Fails with kind `malformed` when the header is short, has another variant, is a control
 /// message or names another protocol than IPv4 or IPv6.
 pub fn decode(datagram: &[u8]) -> Result<&[u8]> {
+    payload(datagram).map_err(malformed)
+}
+
+/// Returns the IP packet inside a datagram as [`decode`] does, without an allocation on failure.
+///
+/// # Errors
+///
+/// Returns the message of the error that [`decode`] fails with.
+pub fn payload(datagram: &[u8]) -> std::result::Result<&[u8], &'static str> {
     let Some((header, rest)) = datagram.split_first_chunk::<HEADER_BYTES>() else {
-        return Err(malformed("gue: datagram is shorter than the header"));
+        return Err("gue: datagram is shorter than the header");
     };
     // Bits 0-1 are the variant, bit 2 the control flag, bits 3-7 the length of optional fields
     // in 32-bit words.
     if header[0] >> 5 != 0 {
-        return Err(malformed("gue: variant or control flag is not supported"));
+        return Err("gue: variant or control flag is not supported");
     }
     let optional_bytes = usize::from(header[0] & 0x1f) * 4;
     if !matches!(header[1], PROTOCOL_IPV4 | PROTOCOL_IPV6) {
-        return Err(malformed("gue: inner protocol is not IPv4 or IPv6"));
+        return Err("gue: inner protocol is not IPv4 or IPv6");
     }
     rest.get(optional_bytes..)
         .filter(|packet| !packet.is_empty())
-        .ok_or_else(|| malformed("gue: datagram ends within the header"))
+        .ok_or("gue: datagram ends within the header")
 }
 
 /// Returns the header for an IP packet; the IP version comes from the first byte.
