bench: forward experiment

The rate and cost of the packet loop were not measured. The experiment runs the daemon's own loop and a bare relay with the same batches and calls in alternating rounds on loopback, under full load and with one packet at a time.

--- a/crates/bench/src/experiment/mod.rs
+++ b/crates/bench/src/experiment/mod.rs
@@ -1,6 +1,7 @@
 //! What an experiment is, and the registry of all experiments.
 
 mod fixture;
+mod forward;
 mod lookup;
 mod memory;
 mod table;
@@ -40,5 +41,9 @@
 /// Returns all experiments.
 #[must_use]
 pub fn registry() -> Vec<Box<dyn Experiment>> {
-    vec![Box::new(lookup::Lookup), Box::new(table::Table)]
+    vec![
+        Box::new(forward::Forward),
+        Box::new(lookup::Lookup),
+        Box::new(table::Table),
+    ]
 }
