bench: agent experiment

The memory of an idle flow in the agent, its connection rate and its throughput were not measured. The experiment opens flows with a request each against a backend server in memory, at 1,000, 8,000 and 32,000 flows, and runs direct connections beside it.

--- a/crates/bench/src/experiment/mod.rs
+++ b/crates/bench/src/experiment/mod.rs
@@ -1,5 +1,6 @@
 //! What an experiment is, and the registry of all experiments.
 
+mod agent;
 mod fixture;
 mod forward;
 mod lookup;
@@ -42,6 +43,7 @@
 #[must_use]
 pub fn registry() -> Vec<Box<dyn Experiment>> {
     vec![
+        Box::new(agent::AgentFlows),
         Box::new(forward::Forward),
         Box::new(lookup::Lookup),
         Box::new(table::Table),
