state: sort hosts to services in one pass

Every change of one host scanned all hosts once for each service, 370 times 4,300 entries, and a balancer rebuilds after every datagram that changes membership. The rebuild now sorts the hosts to their services in one pass.

--- a/crates/state/src/routing/mod.rs
+++ b/crates/state/src/routing/mod.rs
@@ -7,7 +7,10 @@
         hosts::HostTable,
     },
     cardamomloom_core::{ServiceId, ServiceName, TableVersion, error::Error},
-    cardamomloom_protocol::{control::HostState, object::ServiceSpec},
+    cardamomloom_protocol::{
+        control::{HostEntry, HostState},
+        object::ServiceSpec,
+    },
     std::{collections::HashMap, net::SocketAddr, sync::Arc},
 };
 
@@ -68,10 +71,12 @@
     /// Never fails at present; the result allows for a change that would stop the whole update.
     pub fn rebuild(&self, catalogue: &Catalogue, hosts: &HostTable) -> Result<Self> {
         let mut next = Self::default();
+        let mut candidates = candidates_by_service(catalogue, hosts);
         let claims = catalogue.claims();
         next.problems = claims.lost().iter().map(describe).collect();
         for spec in catalogue.services().filter(|spec| claims.has_id(spec)) {
-            let table = match self.service_table(spec, catalogue, hosts) {
+            let candidates = candidates.remove(&spec.id).unwrap_or_default();
+            let table = match self.service_table(spec, candidates) {
                 Ok(table) => table,
                 Err(error) => {
                     next.problems.push(error.message);
@@ -96,10 +101,8 @@
     fn service_table(
         &self,
         spec: &ServiceSpec,
-        catalogue: &Catalogue,
-        hosts: &HostTable,
+        candidates: Vec<Candidate>,
     ) -> Result<Arc<CandidateTable>> {
-        let candidates = candidates_of(spec.id, catalogue, hosts);
         let hash_key = spec.hash_key_bytes();
         match self.by_service.get(&spec.id) {
             Some(present) if present.has_inputs(hash_key, &candidates) => Ok(present.clone()),
@@ -118,12 +121,29 @@
 ) -> Vec<Candidate> {
     hosts
         .of_service(service)
-        .filter(|entry| matches!(entry.state, HostState::Ready | HostState::Draining))
-        .filter(|entry| !catalogue.is_out(&entry.domain))
+        .filter(|entry| is_candidate(entry, catalogue))
         .map(Candidate::from)
         .collect()
 }
 
+/// Returns [`candidates_of`] for every service in one pass over the hosts.
+fn candidates_by_service(
+    catalogue: &Catalogue,
+    hosts: &HostTable,
+) -> HashMap<ServiceId, Vec<Candidate>> {
+    let mut candidates: HashMap<ServiceId, Vec<Candidate>> = HashMap::new();
+    for entry in hosts.iter().filter(|entry| is_candidate(entry, catalogue)) {
+        let of_service = candidates.entry(entry.service).or_default();
+        of_service.push(Candidate::from(entry));
+    }
+    candidates
+}
+
+fn is_candidate(entry: &HostEntry, catalogue: &Catalogue) -> bool {
+    matches!(entry.state, HostState::Ready | HostState::Draining)
+        && !catalogue.is_out(&entry.domain)
+}
+
 fn describe(lost: &LostClaim) -> Arc<str> {
     Arc::from(format!(
         "routing: service {} states {}, which service {} has",
