--- a/crates/bench/src/experiment/mod.rs
+++ b/crates/bench/src/experiment/mod.rs
@@ -1,6 +1,8 @@
 //! What an experiment is, and the registry of all experiments.
 
+mod agent;
 mod fixture;
+mod forward;
 mod lookup;
 mod memory;
 mod table;
@@ -40,5 +42,10 @@
 /// Returns all experiments.
 #[must_use]
 pub fn registry() -> Vec<Box<dyn Experiment>> {
-    vec![Box::new(lookup::Lookup), Box::new(table::Table)]
+    vec![
+        Box::new(agent::AgentFlows),
+        Box::new(forward::Forward),
+        Box::new(lookup::Lookup),
+        Box::new(table::Table),
+    ]
 }
--- a/crates/daemon/src/balancer/mod.rs
+++ b/crates/daemon/src/balancer/mod.rs
@@ -1,8 +1,8 @@
 //! The balancer role.
 
 mod control;
-mod packet_loop;
-mod refusals;
+pub mod packet_loop;
+pub mod refusals;
 
 pub use packet_loop::DropCounters;
 
