standins: overlapping joins, drains and balancer restarts end to end

Cause: without the handover directory this sequence broke 2 of 240 flows: two joins and two drains push an owner out of the candidates of its bucket, and the end of the candidate walk answered with a reset.

Change: the test lands now that owners hand their flows to new first candidates and a reset needs the confirmation of every live agent.

--- a/crates/standins/tests/end_to_end.rs
+++ b/crates/standins/tests/end_to_end.rs
@@ -86,6 +86,26 @@
     assert!(outcome.is_clean(), "{outcome:?}");
 }
 
+/// Guards against overlapping planned changes: every balancer is replaced, hosts drain and join.
+#[test]
+fn verify_overlapping_planned_changes_break_no_flow() {
+    let load = Load {
+        requests_per_flow: 20,
+        ..Load::default()
+    };
+    let outcome = run("rolling", &load, |installation| {
+        installation.add_host(0, "tas-hobart")?;
+        installation.agent(0, 0)?.signal(Signal::SIGTERM)?;
+        installation.restart_balancer(0)?;
+        installation.add_host(0, "tas-devonport")?;
+        installation.agent(0, 3)?.signal(Signal::SIGTERM)?;
+        installation.restart_balancer(1)?;
+        installation.agent(1, 0)?.signal(Signal::SIGTERM)?;
+        installation.restart_balancer(2)
+    });
+    assert!(outcome.is_clean(), "{outcome:?}");
+}
+
 /// Guards against a data path that needs the store: it is killed while flows are opened.
 #[test]
 fn verify_killed_store_breaks_no_flow() {
