coordination: admission by observed success and bounded load

The agent admitted flows up to the catalogue's limit. A cold backend server was overrun at once, a server that became cold again was overrun repeatedly, and nothing kept the load of the hosts of a service together.

AdmissionPolicy replaces FixedLimit in the daemon. Connections are counted by slot and released by their guard. Trust starts at slow_start_connections and rises by quarters for connections that survived, no faster than slow_start_ms and only near the present trust; it falls to cold on a refused connect, on three resets within a second and on three late accepts in a row. Reports of the server hold a host at three quarters of the service's mean and no lower. Classes differ in the share of a limit under pressure and in the budget of retries after a failed connect. A connect without an outcome after 1.5 s counts as failed.

Agents of a service send their own connection count to up to 12 peers every 500 ms (message Load). An agent above 1.04 times the mean passes an opening packet on; when no candidate takes it, the visited ones are asked again without the mean, so that imbalance never causes a refusal.

crates/standins/src/fleet runs real agents with modelled servers and callers in virtual time.

--- a/crates/coordination/src/admission/mod.rs
+++ b/crates/coordination/src/admission/mod.rs
@@ -1,8 +1,25 @@
 //! Admission of new flows at the agent, the only place where limits are enforced.
 
+mod fixed;
+mod ledger;
+mod load;
+mod policy;
+mod pressure;
+mod trust;
+
+pub use {
+    fixed::FixedLimit,
+    ledger::ConnectionGuard,
+    load::{LoadExchange, LoadExchangeOptions, MeanLoad},
+    policy::AdmissionPolicy,
+    trust::TrustOptions,
+};
+
 use {
-    cardamomloom_core::Time,
-    std::{cell::Cell, fmt, rc::Rc},
+    cardamomloom_core::{Span, Time, Weight},
+    cardamomloom_protocol::object::{ServiceClass, ServiceSpec},
+    serde::Serialize,
+    std::fmt,
 };
 
 /// Why a new flow was not admitted here; another candidate may admit it.
@@ -12,6 +29,14 @@
     Full,
     /// The host is draining or not ready.
     NotAccepting,
+    /// The backend server has not earned more connections yet, or is recovering from a failure.
+    Cold,
+    /// Too many connects to the backend server are under way.
+    Connecting,
+    /// The host carries more than its share of the service's load.
+    AboveMean,
+    /// The backend server is under pressure and the service's class gives way.
+    Pressure,
 }
 
 impl fmt::Display for Rejection {
@@ -19,6 +44,10 @@
         f.write_str(match self {
             Self::Full => "full",
             Self::NotAccepting => "not_accepting",
+            Self::Cold => "cold",
+            Self::Connecting => "connecting",
+            Self::AboveMean => "above_mean",
+            Self::Pressure => "pressure",
         })
     }
 }
@@ -26,98 +55,126 @@
 /// Result of an admission request.
 pub type Result<T> = std::result::Result<T, Rejection>;
 
-/// Decides which new flows the local backend server takes.
-pub trait Admission {
-    /// Admits one connection, or names the reason against it.
-    ///
-    /// # Errors
-    ///
-    /// Returns the reason when the connection is not admitted.
-    fn admit(&mut self, now: Time) -> Result<ConnectionGuard>;
+/// One request for admission.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Attempt {
+    /// Whether another candidate, which has not refused the flow, can still be asked.
+    pub has_other: bool,
+}
 
-    /// Learns how an attempt to connect to the backend server ended.
-    fn observe_connect(&mut self, now: Time, outcome: ConnectOutcome);
+/// Limits of one host, from the catalogue entry of its service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Slots of the backend server.
+    pub slots: u32,
+    /// Connections that one slot can hold.
+    pub connections_per_slot: u32,
+    /// Connections that a cold backend server takes.
+    pub slow_start_connections: u32,
+    /// Shortest time from cold to the full limit.
+    pub slow_start_span: Span,
+    /// Order under pressure.
+    pub class: ServiceClass,
+    /// Share of the host in placement.
+    pub weight: Weight,
+}
 
-    /// Sets whether new flows are accepted; a draining host accepts none.
-    fn set_accepting(&mut self, accepting: bool);
+impl Limits {
+    /// Returns the limits of a host with a weight.
+    #[must_use]
+    pub const fn of(spec: &ServiceSpec, weight: Weight) -> Self {
+        Self {
+            slots: spec.slots_per_host,
+            connections_per_slot: spec.connections_per_slot,
+            slow_start_connections: spec.slow_start_connections,
+            slow_start_span: Span::from_millis(spec.slow_start_ms),
+            class: spec.class,
+            weight,
+        }
+    }
 
-    /// Returns the connections that hold a guard.
-    fn open_connections(&self) -> u32;
+    /// Returns the connections that a warm backend server can hold.
+    #[must_use]
+    pub const fn connections(&self) -> u32 {
+        self.slots.saturating_mul(self.connections_per_slot)
+    }
 }
 
 /// How an attempt to connect to the backend server ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConnectOutcome {
     /// The backend server accepted.
-    Accepted,
-    /// The backend server refused or the attempt failed.
+    Accepted {
+        /// Time from the attempt to the acceptance.
+        latency: Span,
+    },
+    /// The backend server refused, or the attempt failed or took too long.
     Refused,
 }
 
-/// Holds one admitted connection and releases it when dropped.
-#[derive(Debug)]
-pub struct ConnectionGuard {
-    open: Rc<Cell<u32>>,
+/// What the backend server says about itself. It may be late or false.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ServerReport {
+    /// Share of its capacity in use, in parts per million.
+    pub load_ppm: u32,
+    /// Whether it asks for less load.
+    pub shedding: bool,
 }
 
-impl ConnectionGuard {
-    /// Counts one more connection in `open`.
-    #[must_use]
-    pub fn acquire(open: &Rc<Cell<u32>>) -> Self {
-        open.set(open.get() + 1);
-        Self { open: open.clone() }
-    }
+/// State of an admission for operators.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct AdmissionStatus {
+    /// Connections that hold a guard.
+    pub open_connections: u32,
+    /// Connections that the backend server is trusted with at present.
+    pub trusted_connections: u32,
+    /// Times that trust fell to cold since the start.
+    pub collapses: u64,
 }
 
-impl Drop for ConnectionGuard {
-    fn drop(&mut self) {
-        self.open.set(self.open.get().saturating_sub(1));
-    }
-}
+/// Decides which new flows the local backend server takes.
+pub trait Admission {
+    /// Admits one connection, or names the reason against it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason when the connection is not admitted.
+    fn admit(&mut self, now: Time, attempt: Attempt) -> Result<ConnectionGuard>;
 
-/// Admission by a fixed connection limit.
-#[derive(Debug)]
-pub struct FixedLimit {
-    open: Rc<Cell<u32>>,
-    limit: u32,
-    accepting: bool,
-}
+    /// Learns how an attempt to connect to the backend server ended.
+    fn observe_connect(&mut self, now: Time, outcome: ConnectOutcome);
 
-impl FixedLimit {
-    /// Creates an admission with a limit; it accepts until told otherwise.
-    #[must_use]
-    pub fn new(limit: u32) -> Self {
-        Self {
-            open: Rc::default(),
-            limit,
-            accepting: true,
-        }
-    }
+    /// Learns that the backend server reset an established connection.
+    fn observe_reset(&mut self, _now: Time) {}
 
-    /// Sets the connection limit; open connections above it are kept.
-    pub const fn set_limit(&mut self, limit: u32) {
-        self.limit = limit;
-    }
-}
+    /// Learns what the backend server says about itself.
+    fn observe_report(&mut self, _now: Time, _report: ServerReport) {}
 
-impl Admission for FixedLimit {
-    fn admit(&mut self, _now: Time) -> Result<ConnectionGuard> {
-        if !self.accepting {
-            return Err(Rejection::NotAccepting);
-        }
-        if self.open.get() >= self.limit {
-            return Err(Rejection::Full);
-        }
-        Ok(ConnectionGuard::acquire(&self.open))
-    }
+    /// Learns the mean load of the service.
+    fn observe_mean(&mut self, _now: Time, _mean: MeanLoad) {}
 
-    fn observe_connect(&mut self, _now: Time, _outcome: ConnectOutcome) {}
+    /// Treats the backend server as cold, used when its failure domain returns.
+    fn become_cold(&mut self, _now: Time) {}
 
-    fn set_accepting(&mut self, accepting: bool) {
-        self.accepting = accepting;
+    /// Spends one retry of a flow whose connect failed; false when the class has none left.
+    fn spend_retry(&mut self, _now: Time) -> bool {
+        true
     }
 
-    fn open_connections(&self) -> u32 {
-        self.open.get()
+    /// Takes up limits from the catalogue; open connections above them are kept.
+    fn set_limits(&mut self, _limits: Limits) {}
+
+    /// Sets whether new flows are accepted; a draining host accepts none.
+    fn set_accepting(&mut self, accepting: bool);
+
+    /// Returns the connections that hold a guard.
+    fn open_connections(&self) -> u32;
+
+    /// Returns the state for operators.
+    fn status(&self) -> AdmissionStatus {
+        AdmissionStatus {
+            open_connections: self.open_connections(),
+            ..AdmissionStatus::default()
+        }
     }
 }
--- a/crates/coordination/src/agent/mod.rs
+++ b/crates/coordination/src/agent/mod.rs
@@ -1,15 +1,16 @@
 //! The agent: decides for each packet, terminates its own flows and splices them to the backend
 //! server.
 
+mod placing;
 mod splice;
 
 use {
     crate::{
-        admission::{Admission, ConnectOutcome, ConnectionGuard, Rejection},
+        admission::{Admission, Attempt, ConnectOutcome, ConnectionGuard, Rejection},
         ownership::{Decision, FlowId, Hop, Ownership, Phase},
         termination::{TerminatedFlow, TerminationOptions},
     },
-    cardamomloom_core::Time,
+    cardamomloom_core::{Span, Time},
     cardamomloom_protocol::{
         forward::ForwardHeader,
         packet::{self, DropCause, PacketMeta},
@@ -63,8 +64,14 @@
     fn count_drop(&mut self, cause: DropCause);
 }
 
+/// Time after which a connect counts as failed, so that the flow is placed elsewhere before its
+/// caller gives up. Callers usually repeat the opening packet after 1 s and 3 s.
+const CONNECT_DEADLINE: Span = Span::from_millis(1_500);
+
 struct Flow {
     meta: PacketMeta,
+    /// Time of the opening packet.
+    opened: Time,
     /// Opening packet and its header, kept until the backend server accepted.
     opening: Option<(ForwardHeader, Vec<u8>)>,
     tcp: Option<Box<TerminatedFlow>>,
@@ -131,7 +138,13 @@
         &mut self.ownership
     }
 
-    /// Replaces the admission; guards of the old one stay valid.
+    /// Returns the admission.
+    #[must_use]
+    pub fn admission(&self) -> &dyn Admission {
+        self.admission.as_ref()
+    }
+
+    /// Returns the admission for observations and changes of configuration.
     pub fn admission_mut(&mut self) -> &mut dyn Admission {
         self.admission.as_mut()
     }
@@ -219,7 +232,10 @@
                 .is_some_and(|flow| flow.server.ended_cleanly());
             self.finish(earlier, !ended, io);
         }
-        let admitted = match self.admission.admit(now) {
+        let attempt = Attempt {
+            has_other: placing::has_other(&self.ownership, header),
+        };
+        let admitted = match self.admission.admit(now, attempt) {
             Ok(admitted) => admitted,
             Err(reason) => return self.place_elsewhere(now, header, packet, &meta, reason, io),
         };
@@ -228,14 +244,16 @@
         };
         let flow = Flow {
             meta,
+            opened: now,
             opening: Some((*header, packet.to_vec())),
             tcp: None,
             admitted: Some(admitted),
             server: splice::ServerSide::default(),
-            next_poll: None,
+            next_poll: Some(now + CONNECT_DEADLINE),
             caller_end: 0,
         };
         self.flows.insert(id, flow);
+        self.timers.insert((now + CONNECT_DEADLINE, id));
         if io.connect(id).is_err() {
             self.on_connect_failed(now, id, io);
         }
@@ -262,7 +280,12 @@
         reason: Rejection,
         io: &mut dyn AgentIo,
     ) {
-        let decision = self.ownership.redirect(now, header, meta.flow, reason);
+        let mut decision = self.ownership.redirect(now, header, meta.flow, reason);
+        if decision == Decision::Refuse
+            && let Some(hop) = placing::way_back(&self.ownership, header)
+        {
+            decision = Decision::Forward(hop);
+        }
         if matches!(decision, Decision::Forward(_)) {
             self.counters.redirected += 1;
         }
@@ -271,15 +294,19 @@
 
     /// Learns that the backend server accepted the connection of a flow.
     pub fn on_connected(&mut self, now: Time, id: FlowId, io: &mut dyn AgentIo) {
-        self.admission
-            .observe_connect(now, ConnectOutcome::Accepted);
         let seed = self.next_seed();
         let Some(flow) = self.flows.get_mut(&id) else {
             return io.close(id, true);
         };
+        if let Some(admitted) = flow.admitted.as_mut() {
+            admitted.set_connected();
+        }
         let Some((_, packet)) = flow.opening.take() else {
             return;
         };
+        let latency = now.since(flow.opened);
+        self.admission
+            .observe_connect(now, ConnectOutcome::Accepted { latency });
         let Ok(mut tcp) = TerminatedFlow::new(now, &flow.meta.flow, seed, &self.options) else {
             return self.finish(id, true, io);
         };
@@ -305,9 +332,15 @@
         let Some(flow) = self.flows.remove(&id) else {
             return;
         };
+        if let Some(due) = flow.next_poll {
+            self.timers.remove(&(due, id));
+        }
         self.ownership.remove(id);
         io.close(id, false);
         if let Some((header, packet)) = flow.opening {
+            if !self.admission.spend_retry(now) {
+                return self.carry_out(now, Decision::Refuse, &packet, &flow.meta, io);
+            }
             self.place_elsewhere(
                 now,
                 &header,
@@ -331,10 +364,15 @@
                 break;
             }
             self.timers.remove(&(due, id));
-            if let Some(flow) = self.flows.get_mut(&id) {
-                flow.next_poll = None;
+            let Some(flow) = self.flows.get_mut(&id) else {
+                continue;
+            };
+            flow.next_poll = None;
+            if flow.opening.is_some() {
+                self.on_connect_failed(now, id, io);
+            } else {
+                self.advance(now, id, None, io);
             }
-            self.advance(now, id, None, io);
         }
     }
 
@@ -387,6 +425,7 @@
         let state = tcp.socket().state();
         match (outcome, state) {
             (splice::Outcome::ServerFailed, _) => {
+                self.admission.observe_reset(now);
                 tcp.socket_mut().abort();
                 tcp.poll(now, &mut |answer| io.send_to_caller(answer));
                 self.finish(id, true, io);
--- a/crates/daemon/src/agent/control.rs
+++ b/crates/daemon/src/agent/control.rs
@@ -7,6 +7,7 @@
         inspect::DaemonInspect,
     },
     cardamomloom_coordination::{
+        admission::{AdmissionStatus, Limits, LoadExchange, LoadExchangeOptions},
         handover::{Members, Peer},
         membership::{AgentMembership, AgentMembershipOptions},
     },
@@ -82,10 +83,12 @@
     nodes: BTreeMap<Arc<str>, SocketAddr>,
     /// Exists once the service is known.
     membership: Option<AgentMembership>,
+    loads: Option<LoadExchange>,
     spec: Option<Arc<ServiceSpec>>,
     domain_out: bool,
     table: TableVersion,
     open_flows: usize,
+    admission: AdmissionStatus,
     stopping: Stopping,
 }
 
@@ -98,10 +101,12 @@
             catalogue: Catalogue::default(),
             nodes: BTreeMap::new(),
             membership: None,
+            loads: None,
             spec: None,
             domain_out: false,
             table: TableVersion::default(),
             open_flows: 0,
+            admission: AdmissionStatus::default(),
             stopping: Stopping::No,
         })
     }
@@ -118,9 +123,18 @@
                 if let Some(membership) = self.membership.as_mut() {
                     membership.on_message(now, &message);
                 }
+                if let Some(loads) = self.loads.as_mut() {
+                    loads.on_message(now, &message);
+                }
                 self.update_table(false);
             }
-            Event::Flows { open } => self.open_flows = open,
+            Event::Flows { open, admission } => {
+                self.open_flows = open;
+                self.admission = admission;
+            }
+            Event::ServerReport(report) => {
+                self.options.commands.send(Command::ServerReport(report));
+            }
             Event::Stop => self.start_drain(now),
         }
         self.advance_stop(cx, now);
@@ -134,10 +148,35 @@
                 self.options.sender.send(outgoing.to, &outgoing.message);
             }
         }
+        self.exchange_loads(now);
         self.publish_status();
         self.advance_stop(cx, now);
     }
 
+    /// Tells peers the own load and the packet loop the mean of the service.
+    fn exchange_loads(&mut self, now: Time) {
+        let (Some(loads), Some(membership)) = (self.loads.as_mut(), self.membership.as_ref())
+        else {
+            return;
+        };
+        let (hosts, own) = (membership.hosts(), self.admission.open_connections);
+        let due = loads.on_tick(now, own, hosts);
+        if due.is_empty() {
+            return;
+        }
+        for outgoing in due {
+            self.options.sender.send(outgoing.to, &outgoing.message);
+        }
+        let takes_flows = |host| {
+            hosts.get(host).is_some_and(|entry| {
+                entry.state == HostState::Ready && !self.catalogue.is_out(&entry.domain)
+            })
+        };
+        if let Some(mean) = loads.mean(now, own, takes_flows) {
+            self.options.commands.send(Command::Mean(mean));
+        }
+    }
+
     fn on_objects(&mut self, now: Time, list: &ObjectList) {
         let mut changed = false;
         for object in &list.objects {
@@ -196,7 +235,7 @@
         self.options.commands.send(Command::Service {
             id: spec.id,
             addresses,
-            limit: spec.connections_per_host(),
+            limits: Limits::of(&spec, self.options.weight),
         });
         if self.membership.is_none() {
             self.join(&spec);
@@ -228,6 +267,12 @@
             weight: self.options.weight,
         };
         info!(event = "joined", host:% = entry.host, service:% = spec.name; "agent serves the service");
+        self.loads = Some(LoadExchange::new(
+            entry.host,
+            entry.service,
+            entry.weight,
+            LoadExchangeOptions::default(),
+        ));
         self.membership = Some(AgentMembership::new(
             entry,
             AgentMembershipOptions::default(),
@@ -318,6 +363,7 @@
             "host": entry,
             "table": self.table.to_string(),
             "open_flows": self.open_flows,
+            "admission": self.admission,
             "domain_out": self.domain_out,
             "objects": self
                 .catalogue
--- a/crates/daemon/src/agent/packet_loop.rs
+++ b/crates/daemon/src/agent/packet_loop.rs
@@ -7,7 +7,7 @@
         control::{ControlSender, Event},
     },
     cardamomloom_coordination::{
-        admission::FixedLimit,
+        admission::{AdmissionPolicy, Limits, MeanLoad, ServerReport, TrustOptions},
         agent::{Agent, AgentCounters, AgentIo},
         handover::Members,
         ownership::{FlowId, Hop, Ownership, OwnershipOptions},
@@ -78,14 +78,14 @@
 /// Change of configuration for the packet loop.
 #[derive(Debug)]
 pub enum Command {
-    /// The service of the host, its addresses and connection limit.
+    /// The service of the host, its addresses and limits.
     Service {
         /// Identifier of the service.
         id: ServiceId,
         /// Addresses that callers use.
         addresses: Vec<SocketAddr>,
-        /// Connections that the backend server can hold.
-        limit: u32,
+        /// Limits of the host.
+        limits: Limits,
     },
     /// A new candidate table with its agents.
     Table(Arc<CandidateTable>, Members),
@@ -95,6 +95,10 @@
     DomainOut(bool),
     /// Whether new flows are accepted.
     Accepting(bool),
+    /// The mean load of the service.
+    Mean(MeanLoad),
+    /// What the backend server says about itself.
+    ServerReport(ServerReport),
 }
 
 /// Sends commands to the packet loop and wakes it.
@@ -161,6 +165,7 @@
 
 struct AgentMetrics {
     open_flows: Gauge,
+    trusted: Gauge,
     opened: Counter,
     redirected: Counter,
     forwarded: Counter,
@@ -172,6 +177,7 @@
     fn default() -> Self {
         Self {
             open_flows: metrics::gauge!("cardamomloom_open_flows"),
+            trusted: metrics::gauge!("cardamomloom_trusted_connections"),
             opened: metrics::counter!("cardamomloom_opened_flows_total"),
             redirected: metrics::counter!("cardamomloom_redirected_flows_total"),
             forwarded: metrics::counter!("cardamomloom_forwarded_packets_total"),
@@ -307,14 +313,15 @@
         if let Command::Service {
             id,
             addresses,
-            limit,
+            limits,
         } = command
         {
             self.options.burn.set_service(id);
             let (host, seed) = (self.options.host, self.options.seed);
             let agent = self
                 .agent
-                .get_or_insert_with(|| new_agent(host, id, limit, seed));
+                .get_or_insert_with(|| new_agent(host, id, limits, seed));
+            agent.admission_mut().set_limits(limits);
             agent.ownership_mut().set_addresses(addresses);
             return;
         }
@@ -336,9 +343,14 @@
                 if out {
                     info!(event = "domain_out"; "failure domain is out; flows are given up");
                     agent.close_all(&mut self.io);
+                } else {
+                    // The backend server had no load while the failure domain was out.
+                    agent.admission_mut().become_cold(now);
                 }
             }
             Command::Accepting(accepting) => agent.admission_mut().set_accepting(accepting),
+            Command::Mean(mean) => agent.admission_mut().observe_mean(now, mean),
+            Command::ServerReport(report) => agent.admission_mut().observe_report(now, report),
             Command::Service { .. } => {}
         }
     }
@@ -371,16 +383,19 @@
             bad: counters.refused_opening,
         });
         self.published = counters;
-        let open = agent.flow_count();
+        let (open, admission) = (agent.flow_count(), agent.admission().status());
+        self.metrics
+            .trusted
+            .set(f64::from(admission.trusted_connections));
         // A full queue only delays the next report.
-        let _ = self.events.try_send(Event::Flows { open });
+        let _ = self.events.try_send(Event::Flows { open, admission });
     }
 }
 
-fn new_agent(host: HostId, service: ServiceId, limit: u32, seed: u64) -> Agent {
+fn new_agent(host: HostId, service: ServiceId, limits: Limits, seed: u64) -> Agent {
     Agent::new(
         Ownership::new(host, service, OwnershipOptions::default()),
-        Box::new(FixedLimit::new(limit)),
+        Box::new(AdmissionPolicy::new(limits, TrustOptions::default())),
         TerminationOptions::default(),
         seed,
     )
--- a/crates/daemon/src/balancer/control.rs
+++ b/crates/daemon/src/balancer/control.rs
@@ -78,7 +78,7 @@
                 self.rebuild_if_changed();
             }
             Event::Stop => self.stop(cx),
-            Event::Flows { .. } => {}
+            Event::Flows { .. } | Event::ServerReport(_) => {}
         }
     }
 
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! The control thread: runs `stakker` actors on events from sockets and the store.
 
 use {
+    cardamomloom_coordination::admission::{AdmissionStatus, ServerReport},
     cardamomloom_core::{
         Incarnation,
         error::{Error, io},
@@ -54,7 +55,11 @@
     Flows {
         /// Open flows.
         open: usize,
+        /// State of the admission.
+        admission: AdmissionStatus,
     },
+    /// The backend server reported its load.
+    ServerReport(ServerReport),
     /// The process is asked to stop.
     Stop,
 }
--- a/crates/protocol/src/control/mod.rs
+++ b/crates/protocol/src/control/mod.rs
@@ -222,6 +222,17 @@
         /// Round of the query.
         round: u64,
     },
+    /// An agent tells a peer of its service how many connections its server holds.
+    Load {
+        /// The sender.
+        host: HostId,
+        /// Service of both agents.
+        service: ServiceId,
+        /// Open connections, counted by the agent itself.
+        connections: u32,
+        /// Share of the sender in placement.
+        weight: Weight,
+    },
 }
 
 /// Returns the datagram for a message.
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod caller;
 pub mod demo;
 pub mod fabric;
+pub mod fleet;
 pub mod model;
 pub mod processes;
 pub mod store;
