daemon: confirm versions after a pause or silence before forwarding

A process that was stopped while a failure domain went out sent the packets that had collected in its socket to hosts of that domain when it resumed.

coordination::freshness decides whether the configuration is current: a gap of 1 s between two steps counts as a pause, and silence of all others for 3 s as doubt. Nothing is forwarded until the store has answered a question asked after the doubt began. After 2 s without an answer the last known configuration is served, and status, log and metric say so. Questions back off to one in 30 s, so that 4,870 isolated processes stay below the read rate of the store.

Packet loops hold a lease that the control thread extends on every step. It runs out by itself, so a packet loop that is scheduled before the control thread forwards nothing. Packets are dropped with cause "stale"; an agent also holds back bytes of its backend server. Readiness of a balancer is false meanwhile. Answers of peers can confirm through Freshness::on_confirmed once they carry versions; today only the store does.

--- a/crates/daemon/src/agent/control.rs
+++ b/crates/daemon/src/agent/control.rs
@@ -4,6 +4,7 @@
     super::packet_loop::{Command, CommandSender},
     crate::{
         control::{ControlSender, Event},
+        freshness::{Confirmer, FreshnessGate, Lease},
         inspect::DaemonInspect,
     },
     cardamomloom_coordination::{
@@ -64,6 +65,10 @@
     pub sender: ControlSender,
     /// Orders to the packet loop.
     pub commands: CommandSender,
+    /// Permission of the packet loop to forward.
+    pub lease: Lease,
+    /// Asks which versions are current.
+    pub confirmer: Confirmer,
     /// Readiness and status.
     pub inspect: Arc<DaemonInspect>,
 }
@@ -79,6 +84,7 @@
 /// Control actor of an agent.
 pub struct AgentControl {
     options: ControlOptions,
+    gate: FreshnessGate,
     catalogue: Catalogue,
     nodes: BTreeMap<Arc<str>, SocketAddr>,
     /// Exists once the service is known.
@@ -96,7 +102,13 @@
     /// Creates the actor and starts its timer.
     pub fn init(cx: CX![], options: ControlOptions) -> Option<Self> {
         after!(TICK, [cx], on_tick());
+        let gate = FreshnessGate::new(
+            options.clock.now(),
+            options.lease.clone(),
+            options.confirmer.clone(),
+        );
         Some(Self {
+            gate,
             options,
             catalogue: Catalogue::default(),
             nodes: BTreeMap::new(),
@@ -114,12 +126,19 @@
     /// Processes an event.
     pub fn on_event(&mut self, cx: CX![], event: Event) {
         let now = self.options.clock.now();
+        self.gate.on_step(now);
         match event {
-            Event::Objects(list) => self.on_objects(now, &list),
+            Event::Objects(list) => {
+                self.on_objects(now, &list);
+                self.gate.on_heard(now);
+            }
+            Event::Confirmed { asked } => self.gate.on_confirmed(now, asked),
             Event::Datagram { message, .. } if is_handover(&message) => {
+                self.gate.on_heard(now);
                 self.options.commands.send(Command::Handover(message));
             }
             Event::Datagram { message, .. } => {
+                self.gate.on_heard(now);
                 if let Some(membership) = self.membership.as_mut() {
                     membership.on_message(now, &message);
                 }
@@ -143,6 +162,7 @@
     fn on_tick(&mut self, cx: CX![]) {
         after!(TICK, [cx], on_tick());
         let now = self.options.clock.now();
+        self.gate.on_step(now);
         if let Some(membership) = self.membership.as_mut() {
             for outgoing in membership.on_tick(now) {
                 self.options.sender.send(outgoing.to, &outgoing.message);
@@ -364,6 +384,7 @@
             "table": self.table.to_string(),
             "open_flows": self.open_flows,
             "admission": self.admission,
+            "standing": self.gate.standing(),
             "domain_out": self.domain_out,
             "objects": self
                 .catalogue
--- a/crates/daemon/src/agent/mod.rs
+++ b/crates/daemon/src/agent/mod.rs
@@ -7,6 +7,7 @@
     crate::{
         burn::AgentTotals,
         control::{Event, run as run_control},
+        freshness::{Confirmer, Lease},
         runtime::{Shell, watch_store},
         settings::{AgentSettings, Settings},
     },
@@ -38,8 +39,10 @@
     let burn = Arc::new(AgentTotals::default());
     let recorder = shell.inspect.burn_recorder();
     recorder.set_source(burn.clone().source());
+    let lease = Lease::default();
     let loop_options = PacketLoopOptions {
         host,
+        lease: lease.clone(),
         key: settings.datagram_key(),
         backend_address: agent.backend_address,
         return_address: agent.return_address,
@@ -70,6 +73,12 @@
         clock: shell.clock,
         sender: shell.control,
         commands,
+        lease,
+        confirmer: Confirmer::new(
+            shell.store.clone(),
+            shell.runtime.handle().clone(),
+            shell.event_sender.clone(),
+        ),
         inspect: shell.inspect,
     };
     let mut stakker = Stakker::new(Instant::now());
--- a/crates/daemon/src/agent/packet_loop.rs
+++ b/crates/daemon/src/agent/packet_loop.rs
@@ -5,6 +5,7 @@
         balancer::DropCounters,
         burn::{AgentTotals, Totals},
         control::{ControlSender, Event},
+        freshness::Lease,
     },
     cardamomloom_coordination::{
         admission::{AdmissionPolicy, Limits, MeanLoad, ServerReport, TrustOptions},
@@ -33,6 +34,7 @@
     metrics::{Counter, Gauge},
     mio::{Events, Interest, Poll, Token, Waker, unix::SourceFd},
     std::{
+        collections::BTreeSet,
         io::Result as IoResult,
         net::{SocketAddr, UdpSocket},
         os::fd::AsRawFd,
@@ -59,6 +61,8 @@
 pub struct PacketLoopOptions {
     /// Own host.
     pub host: HostId,
+    /// Permission to forward and deliver.
+    pub lease: Lease,
     /// Key of datagrams between processes.
     pub key: DatagramKey,
     /// Address of the backend server.
@@ -158,6 +162,11 @@
     options: PacketLoopOptions,
     events: SyncSender<Event>,
     commands: Receiver<Command>,
+    /// Time until which packets are processed, read before the commands of a wake-up are taken.
+    forward_until: Time,
+    /// Connections whose events wait until the configuration is confirmed; an event is reported
+    /// only once.
+    deferred: BTreeSet<u64>,
     next_report: Time,
     published: AgentCounters,
     metrics: AgentMetrics,
@@ -211,6 +220,8 @@
             options,
             events,
             commands,
+            forward_until: Time::ZERO,
+            deferred: BTreeSet::new(),
             next_report: Time::ZERO,
             published: AgentCounters::default(),
             metrics: AgentMetrics::default(),
@@ -227,29 +238,46 @@
             {
                 warn!(event = "poll_failed"; "{error}");
             }
+            self.forward_until = self.options.lease.until();
             self.take_commands();
             for event in &events {
                 match event.token() {
                     PACKET_TOKEN => self.receive_packets(&mut received),
                     WAKE_TOKEN => {}
-                    Token(flow) => self.on_stream_event(flow as u64),
+                    Token(flow) => {
+                        self.deferred.insert(flow as u64);
+                    }
                 }
             }
-            let now = self.options.clock.now();
-            if let Some(agent) = self.agent.as_mut() {
-                agent.on_timer(now, &mut self.io);
-                for due in agent.ownership_mut().on_tick(now) {
-                    self.options.control.send(due.to, &due.message);
-                }
+            self.process_streams();
+            self.report(self.options.clock.now());
+        }
+    }
+
+    /// Processes connections and timers while the configuration is known to be current.
+    fn process_streams(&mut self) {
+        let now = self.options.clock.now();
+        if now >= self.forward_until {
+            return;
+        }
+        for flow in std::mem::take(&mut self.deferred) {
+            self.on_stream_event(flow);
+        }
+        if let Some(agent) = self.agent.as_mut() {
+            agent.on_timer(now, &mut self.io);
+            for due in agent.ownership_mut().on_tick(now) {
+                self.options.control.send(due.to, &due.message);
             }
-            self.report(now);
         }
     }
 
     fn poll_timeout(&self) -> Duration {
         let now = self.options.clock.now();
+        // Timers that are due wait for the confirmation, which the waker does not report.
+        let may_run = now < self.options.lease.until();
         self.agent
             .as_ref()
+            .filter(|_| may_run)
             .and_then(Agent::next_timer)
             .map_or(MAX_WAIT, |due| due.since(now).to_duration().min(MAX_WAIT))
     }
@@ -265,8 +293,12 @@
                 }
             };
             let now = self.options.clock.now();
-            for (datagram, _) in received.datagrams() {
-                self.on_datagram(now, datagram);
+            if now >= self.forward_until {
+                self.io.drops.add(DropCause::Stale, count as u64);
+            } else {
+                for (datagram, _) in received.datagrams() {
+                    self.on_datagram(now, datagram);
+                }
             }
             if count < BATCH {
                 return;
--- a/crates/daemon/src/balancer/control.rs
+++ b/crates/daemon/src/balancer/control.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         control::{ControlSender, Event},
+        freshness::{Confirmer, FreshnessGate, Lease},
         inspect::DaemonInspect,
     },
     arc_swap::ArcSwap,
@@ -24,6 +25,10 @@
 
 const TICK: Duration = Duration::from_millis(100);
 
+/// Time for which the packet loop may still forward when the control thread has ended: one call
+/// to a store that does not answer, and the rest of the socket.
+const DRAIN_LEASE: Span = Span::from_secs(4);
+
 /// What the control actor works with.
 pub struct ControlOptions {
     /// Identity of the balancer.
@@ -36,6 +41,10 @@
     pub routing: Arc<ArcSwap<RoutingTable>>,
     /// Readiness and status.
     pub inspect: Arc<DaemonInspect>,
+    /// Permission of the packet loop to forward.
+    pub lease: Lease,
+    /// Asks which versions are current.
+    pub confirmer: Confirmer,
     /// Time from the stop request to the end of forwarding.
     pub linger: Span,
 }
@@ -45,6 +54,7 @@
     options: ControlOptions,
     catalogue: Catalogue,
     membership: BalancerMembership,
+    gate: FreshnessGate,
     services_listed: bool,
     stopping: bool,
 }
@@ -55,7 +65,13 @@
         after!(TICK, [cx], on_tick());
         let membership =
             BalancerMembership::new(options.node, BalancerMembershipOptions::default());
+        let gate = FreshnessGate::new(
+            options.clock.now(),
+            options.lease.clone(),
+            options.confirmer.clone(),
+        );
         Some(Self {
+            gate,
             options,
             catalogue: Catalogue::default(),
             membership,
@@ -66,10 +82,19 @@
 
     /// Processes an event.
     pub fn on_event(&mut self, cx: CX![], event: Event) {
+        let now = self.options.clock.now();
+        self.gate.on_step(now);
         match event {
-            Event::Objects(list) => self.on_objects(&list),
+            Event::Objects(list) => {
+                self.on_objects(&list);
+                self.gate.on_heard(now);
+            }
+            Event::Confirmed { asked } => {
+                self.gate.on_confirmed(now, asked);
+                self.update_ready();
+            }
             Event::Datagram { from, message, .. } => {
-                let now = self.options.clock.now();
+                self.gate.on_heard(now);
                 let routing = self.options.routing.load_full();
                 let answers = self.membership.on_message(now, from, message, |entry| {
                     routing.service(entry.service).map(|table| table.version())
@@ -84,8 +109,11 @@
 
     fn on_tick(&mut self, cx: CX![]) {
         after!(TICK, [cx], on_tick());
-        self.membership.on_tick(self.options.clock.now());
+        let now = self.options.clock.now();
+        self.gate.on_step(now);
+        self.membership.on_tick(now);
         self.rebuild_if_changed();
+        self.update_ready();
         self.publish_status();
     }
 
@@ -139,7 +167,7 @@
     fn update_ready(&self) {
         self.options
             .inspect
-            .set_ready(self.services_listed && !self.stopping);
+            .set_ready(self.services_listed && !self.stopping && self.gate.may_forward());
     }
 
     fn publish_status(&self) {
@@ -153,6 +181,7 @@
             "role": "balancer",
             "node": self.options.node.to_string(),
             "stopping": self.stopping,
+            "standing": self.gate.standing(),
             "objects": versions,
             "objects_invalid": self.catalogue.rejected().collect::<Vec<_>>(),
             "problems": self.options.routing.load().problems(),
@@ -178,6 +207,7 @@
     }
 
     fn finish(&mut self, cx: CX![]) {
+        self.gate.release(self.options.clock.now() + DRAIN_LEASE);
         cx.stop();
     }
 }
--- a/crates/daemon/src/balancer/mod.rs
+++ b/crates/daemon/src/balancer/mod.rs
@@ -9,6 +9,7 @@
 use {
     crate::{
         control::{Event, run as run_control},
+        freshness::{Confirmer, Lease},
         runtime::{Registration, Shell, watch_store},
         settings::{BalancerSettings, Settings},
     },
@@ -45,9 +46,12 @@
         .inspect
         .burn_recorder()
         .set_source(refusals::source(refused.clone()));
+    let lease = Lease::default();
     let packets = packet_loop::spawn(
         shell.data_socket,
         routing.clone(),
+        lease.clone(),
+        shell.clock,
         settings.datagram_key(),
         refused,
         shell.stop.clone(),
@@ -73,6 +77,12 @@
         sender: shell.control,
         routing,
         inspect: shell.inspect,
+        lease,
+        confirmer: Confirmer::new(
+            shell.store.clone(),
+            shell.runtime.handle().clone(),
+            shell.event_sender.clone(),
+        ),
         linger: Span::from_millis(balancer.linger_ms),
     };
     let mut stakker = Stakker::new(Instant::now());
--- a/crates/daemon/src/balancer/packet_loop.rs
+++ b/crates/daemon/src/balancer/packet_loop.rs
@@ -2,12 +2,16 @@
 
 use {
     super::refusals::{Published, Refusals},
+    crate::freshness::Lease,
     arc_swap::ArcSwap,
     cardamomloom_coordination::balancer::{Route, route},
     cardamomloom_core::error::{Error, io},
     cardamomloom_protocol::{forward::DatagramKey, packet::DropCause},
     cardamomloom_state::routing::RoutingTable,
-    cardamomloom_transport::udp::{self, BATCH, Outgoing, ReceiveBatch, SendBatch, Wait},
+    cardamomloom_transport::{
+        clock::MonotonicClock,
+        udp::{self, BATCH, Outgoing, ReceiveBatch, SendBatch, Wait},
+    },
     log::warn,
     metrics::Counter,
     std::{
@@ -54,6 +58,8 @@
 pub fn spawn(
     socket: UdpSocket,
     routing: Arc<ArcSwap<RoutingTable>>,
+    lease: Lease,
+    clock: MonotonicClock,
     key: DatagramKey,
     refused: Published,
     stop: Arc<AtomicBool>,
@@ -61,13 +67,15 @@
     udp::set_receive_timeout(&socket, RECEIVE_TIMEOUT)?;
     thread::Builder::new()
         .name("packets".to_owned())
-        .spawn(move || forward_packets(&socket, &routing, key, refused, &stop))
+        .spawn(move || forward_packets(&socket, &routing, &lease, clock, key, refused, &stop))
         .map_err(|error| io(format!("packet loop: cannot start a thread: {error}")))
 }
 
 fn forward_packets(
     socket: &UdpSocket,
     routing: &ArcSwap<RoutingTable>,
+    lease: &Lease,
+    clock: MonotonicClock,
     key: DatagramKey,
     refused: Published,
     stop: &AtomicBool,
@@ -90,6 +98,7 @@
                 continue;
             }
         }
+        let forward_until = lease.until();
         let table = routing.load();
         let mut routes: [Option<Route<'_>>; BATCH] = [const { None }; BATCH];
         let mut count = 0;
@@ -109,6 +118,11 @@
         }
         let outgoing: [Outgoing<'_>; BATCH] =
             std::array::from_fn(|index| to_outgoing(routes[index].as_ref()));
+        // Checked as late as possible: a pause before this line is seen.
+        if clock.now() >= forward_until {
+            drops.add(DropCause::Stale, count as u64);
+            continue;
+        }
         let sent = sender.send(socket, &outgoing[..count]);
         forwarded.increment(sent as u64);
         drops.add(DropCause::SendFailed, (count - sent) as u64);
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -3,7 +3,7 @@
 use {
     cardamomloom_coordination::admission::{AdmissionStatus, ServerReport},
     cardamomloom_core::{
-        Incarnation,
+        Incarnation, Time,
         error::{Error, io},
     },
     cardamomloom_protocol::{
@@ -58,6 +58,11 @@
         /// State of the admission.
         admission: AdmissionStatus,
     },
+    /// All objects that were current at a time were sent as events before this one.
+    Confirmed {
+        /// Time of the question to the store.
+        asked: Time,
+    },
     /// The backend server reported its load.
     ServerReport(ServerReport),
     /// The process is asked to stop.
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod balancer;
 pub mod burn;
 pub mod control;
+pub mod freshness;
 pub mod inspect;
 pub mod logging;
 pub mod runtime;
--- a/crates/standins/src/demo/installation.rs
+++ b/crates/standins/src/demo/installation.rs
@@ -9,6 +9,7 @@
         store::Faults,
     },
     cardamomloom_core::ObjectVersion,
+    cardamomloom_protocol::object::DOMAINS_PREFIX,
     cardamomloom_transport::store::{StoreClient, StoreOptions},
     nix::sys::signal::Signal,
     serde::Serialize,
@@ -334,6 +335,66 @@
         self.put_json(&format!("{}/faults", self.store_url), &faults)
     }
 
+    /// Takes a failure domain out or brings it back, and returns when the store accepted it.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store does not answer or does not have the failure domain.
+    pub fn set_domain(&self, name: &str, out: bool) -> Result<()> {
+        let store =
+            StoreClient::new(&self.store_url, StoreOptions::default()).map_err(Error::other)?;
+        let key = format!("{DOMAINS_PREFIX}{name}");
+        let object = self
+            .runtime
+            .block_on(store.get(&key))
+            .map_err(Error::other)?
+            .ok_or_else(|| Error::other(format!("no failure domain {name}")))?;
+        let mut value = object.value.unwrap_or_default();
+        value["state"] = json!(if out { "out" } else { "in" });
+        self.runtime
+            .block_on(store.put(&key, object.version, &value))
+            .map_err(Error::other)?;
+        Ok(())
+    }
+
+    /// Returns the sum of the counters of a daemon whose line starts with `prefix`; member 0 of
+    /// `None` is the first balancer, and of a service its first agent.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no such member, or it does not answer.
+    pub fn metric(&self, service: Option<usize>, member: usize, prefix: &str) -> Result<f64> {
+        let found = match service {
+            None => self.balancers.get(member),
+            Some(service) => self.hosts[service].get(member).map(|host| &host.agent),
+        };
+        let target = found
+            .ok_or_else(|| Error::other(format!("no member {member}")))?
+            .target;
+        let request = self
+            .http
+            .get(format!("http://{}/metrics", target.http_address));
+        let text = self
+            .runtime
+            .block_on(async { request.send().await?.text().await })
+            .map_err(Error::other)?;
+        let lines = text.lines().filter(|line| line.starts_with(prefix));
+        Ok(lines
+            .filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok())
+            .sum())
+    }
+
+    /// Returns how many requests the backend server of a host ran.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is none with these indexes, or it does not answer.
+    pub fn executed(&self, service: usize, host: usize) -> Result<u64> {
+        let address = self.hosts[service][host].backend_address;
+        let counts: BTreeMap<String, u64> = self.get_json(&format!("http://{address}/executed"))?;
+        Ok(counts.values().sum())
+    }
+
     fn put_json<T: Serialize>(&self, url: &str, body: &T) -> Result<()> {
         let request = self.http.put(url).json(body);
         self.runtime
