standins: backend server with cold start, failures and load endpoint

Tests of real processes had a backend server that bears everything, so none of them could fail for admission.

standin-backend now bears few connections when cold and resets all of them when given more, refuses connects, accepts slowly, delays and sheds requests, and answers /load truthfully, late or falsely. A control listener sets this over HTTP, also while the service refuses. A request whose connection ends before it runs does not run. The default bears everything, as before.

The agent reads the endpoint named by its new setting "load_url" once a second and passes the report to admission; a failed read changes nothing.

--- a/crates/daemon/src/agent/mod.rs
+++ b/crates/daemon/src/agent/mod.rs
@@ -8,11 +8,12 @@
         burn::AgentTotals,
         control::{Event, run as run_control},
         freshness::{Confirmer, Lease},
-        runtime::{Shell, watch_store},
+        runtime::{Shell, watch_server_load, watch_store},
         settings::{AgentSettings, Settings},
     },
     cardamomloom_core::{HostId, error::Error},
     cardamomloom_protocol::object::{DOMAINS_PREFIX, NODES_PREFIX, SERVICES_PREFIX},
+    cardamomloom_transport::server_load::LoadClient,
     control::{AgentControl, ControlOptions},
     log::info,
     packet_loop::PacketLoopOptions,
@@ -57,6 +58,10 @@
         shell.event_sender.clone(),
         shell.stop.clone(),
     )?;
+    if let Some(url) = &agent.load_url {
+        let watch = watch_server_load(LoadClient::new(url)?, shell.event_sender.clone());
+        shell.runtime.spawn(watch);
+    }
     for prefix in [SERVICES_PREFIX, DOMAINS_PREFIX, NODES_PREFIX] {
         let watch = watch_store(shell.store.clone(), prefix, shell.event_sender.clone());
         shell.runtime.spawn(watch);
--- a/crates/daemon/src/runtime/mod.rs
+++ b/crates/daemon/src/runtime/mod.rs
@@ -1,9 +1,10 @@
 //! Starts a daemon: sockets, threads, store watch and operator endpoints.
 
 mod registration;
+mod server_load;
 mod store_watch;
 
-pub use {registration::Registration, store_watch::watch_store};
+pub use {registration::Registration, server_load::watch_server_load, store_watch::watch_store};
 
 use {
     crate::{
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -67,6 +67,9 @@
     pub service: ServiceName,
     /// Address of the backend server.
     pub backend_address: SocketAddr,
+    /// Load endpoint of the backend server, if it has one.
+    #[serde(default)]
+    pub load_url: Option<Arc<str>>,
     /// Socket that takes encapsulated packets to callers.
     pub return_address: SocketAddr,
     /// Share in placement, in parts per 1,000 of a standard host.
--- a/crates/standins/src/bin/standin_backend.rs
+++ b/crates/standins/src/bin/standin_backend.rs
@@ -20,6 +20,15 @@
 async fn main() -> Result<()> {
     let arguments = Arguments::parse_args_default_or_exit();
     let listener = TcpListener::bind("127.0.0.1:0").await?;
-    print_bound(&serde_json::json!({ "http_address": listener.local_addr()? }));
-    Backend::new(&arguments.service).serve(listener).await
+    let control = TcpListener::bind("127.0.0.1:0").await?;
+    print_bound(&serde_json::json!({
+        "http_address": listener.local_addr()?,
+        "control_address": control.local_addr()?,
+    }));
+    let backend = Backend::new(&arguments.service);
+    tokio::try_join!(
+        backend.clone().serve(listener),
+        backend.serve_control(control)
+    )?;
+    Ok(())
 }
--- a/crates/standins/src/demo/installation.rs
+++ b/crates/standins/src/demo/installation.rs
@@ -71,6 +71,7 @@
 struct Host {
     agent: MemberProcess,
     _backend: Process,
+    /// Control listener of the backend server.
     backend_address: SocketAddr,
 }
 
@@ -229,16 +230,19 @@
 
     fn start_host(&mut self, plan: ServicePlan, domain: &str) -> Result<Host> {
         let backend = Process::start("backend", "standin-backend", ["--service", plan.name])?;
-        let backend_address = field(&backend.wait_for_event("bound")?, "http_address")?;
+        let bound = backend.wait_for_event("bound")?;
+        let backend_address: SocketAddr = field(&bound, "http_address")?;
+        let control_address: SocketAddr = field(&bound, "control_address")?;
         let role = json!({ "agent": {
             "service": plan.name,
             "backend_address": backend_address,
+            "load_url": format!("http://{control_address}/load"),
             "return_address": self.fabric_egress,
         }});
         Ok(Host {
             agent: self.start_daemon("agent", domain, &role)?,
             _backend: backend,
-            backend_address,
+            backend_address: control_address,
         })
     }
 
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod clock;
 pub mod http;
+pub mod server_load;
 pub mod store;
 pub mod streams;
 pub mod tls;
