--- a/crates/bench/src/experiment/forward.rs
+++ b/crates/bench/src/experiment/forward.rs
@@ -8,10 +8,19 @@
     crate::report::{Axes, Report, Series, line_plot},
     arc_swap::ArcSwap,
     cardamomloom_core::error::io,
-    cardamomloom_daemon::balancer::{packet_loop::forward_packets, refusals::Published},
+    cardamomloom_daemon::{
+        balancer::{
+            packet_loop::{PacketLoop, forward_packets},
+            refusals::Published,
+        },
+        freshness::Lease,
+    },
     cardamomloom_protocol::{forward::DatagramKey, gue},
     cardamomloom_state::routing::RoutingTable,
-    cardamomloom_transport::udp::{self, BATCH, Outgoing, ReceiveBatch, SendBatch, Wait},
+    cardamomloom_transport::{
+        clock::MonotonicClock,
+        udp::{self, BATCH, Outgoing, ReceiveBatch, SendBatch, Wait},
+    },
     hdrhistogram::Histogram,
     nix::sys::{
         resource::{UsageWho, getrusage},
@@ -200,7 +209,15 @@
             let packets = match variant {
                 Variant::BareRelay => relay_packets(&socket, to, &stopped),
                 Variant::Balancer => {
-                    forward_packets(&socket, &routing, KEY, Published::default(), &stopped)
+                    let packet_loop = PacketLoop {
+                        socket,
+                        routing,
+                        lease: Lease::unlimited(),
+                        clock: MonotonicClock::start(),
+                        key: KEY,
+                        refused: Published::default(),
+                    };
+                    forward_packets(packet_loop, &stopped)
                 }
             };
             (packets, thread_cpu_ns())
--- a/crates/daemon/src/agent/control.rs
+++ b/crates/daemon/src/agent/control.rs
@@ -4,9 +4,11 @@
     super::packet_loop::{Command, CommandSender},
     crate::{
         control::{ControlSender, Event},
+        freshness::{Confirmer, FreshnessGate, Lease},
         inspect::DaemonInspect,
     },
     cardamomloom_coordination::{
+        admission::{AdmissionStatus, Limits, LoadExchange, LoadExchangeOptions},
         handover::{Members, Peer},
         membership::{AgentMembership, AgentMembershipOptions},
     },
@@ -63,6 +65,10 @@
     pub sender: ControlSender,
     /// Orders to the packet loop.
     pub commands: CommandSender,
+    /// Permission of the packet loop to forward.
+    pub lease: Lease,
+    /// Asks which versions are current.
+    pub confirmer: Confirmer,
     /// Readiness and status.
     pub inspect: Arc<DaemonInspect>,
 }
@@ -78,14 +84,17 @@
 /// Control actor of an agent.
 pub struct AgentControl {
     options: ControlOptions,
+    gate: FreshnessGate,
     catalogue: Catalogue,
     nodes: BTreeMap<Arc<str>, SocketAddr>,
     /// Exists once the service is known.
     membership: Option<AgentMembership>,
+    loads: Option<LoadExchange>,
     spec: Option<Arc<ServiceSpec>>,
     domain_out: bool,
     table: TableVersion,
     open_flows: usize,
+    admission: AdmissionStatus,
     stopping: Stopping,
 }
 
@@ -93,15 +102,23 @@
     /// Creates the actor and starts its timer.
     pub fn init(cx: CX![], options: ControlOptions) -> Option<Self> {
         after!(TICK, [cx], on_tick());
+        let gate = FreshnessGate::new(
+            options.clock.now(),
+            options.lease.clone(),
+            options.confirmer.clone(),
+        );
         Some(Self {
+            gate,
             options,
             catalogue: Catalogue::default(),
             nodes: BTreeMap::new(),
             membership: None,
+            loads: None,
             spec: None,
             domain_out: false,
             table: TableVersion::default(),
             open_flows: 0,
+            admission: AdmissionStatus::default(),
             stopping: Stopping::No,
         })
     }
@@ -109,18 +126,34 @@
     /// Processes an event.
     pub fn on_event(&mut self, cx: CX![], event: Event) {
         let now = self.options.clock.now();
+        self.gate.on_step(now);
         match event {
-            Event::Objects(list) => self.on_objects(now, &list),
+            Event::Objects(list) => {
+                self.on_objects(now, &list);
+                self.gate.on_heard(now);
+            }
+            Event::Confirmed { asked } => self.gate.on_confirmed(now, asked),
             Event::Datagram { message, .. } if is_handover(&message) => {
+                self.gate.on_heard(now);
                 self.options.commands.send(Command::Handover(message));
             }
             Event::Datagram { message, .. } => {
+                self.gate.on_heard(now);
                 if let Some(membership) = self.membership.as_mut() {
                     membership.on_message(now, &message);
                 }
+                if let Some(loads) = self.loads.as_mut() {
+                    loads.on_message(now, &message);
+                }
                 self.update_table(false);
             }
-            Event::Flows { open } => self.open_flows = open,
+            Event::Flows { open, admission } => {
+                self.open_flows = open;
+                self.admission = admission;
+            }
+            Event::ServerReport(report) => {
+                self.options.commands.send(Command::ServerReport(report));
+            }
             Event::Stop => self.start_drain(now),
         }
         self.advance_stop(cx, now);
@@ -129,15 +162,41 @@
     fn on_tick(&mut self, cx: CX![]) {
         after!(TICK, [cx], on_tick());
         let now = self.options.clock.now();
+        self.gate.on_step(now);
         if let Some(membership) = self.membership.as_mut() {
             for outgoing in membership.on_tick(now) {
                 self.options.sender.send(outgoing.to, &outgoing.message);
             }
         }
+        self.exchange_loads(now);
         self.publish_status();
         self.advance_stop(cx, now);
     }
 
+    /// Tells peers the own load and the packet loop the mean of the service.
+    fn exchange_loads(&mut self, now: Time) {
+        let (Some(loads), Some(membership)) = (self.loads.as_mut(), self.membership.as_ref())
+        else {
+            return;
+        };
+        let (hosts, own) = (membership.hosts(), self.admission.open_connections);
+        let due = loads.on_tick(now, own, hosts);
+        if due.is_empty() {
+            return;
+        }
+        for outgoing in due {
+            self.options.sender.send(outgoing.to, &outgoing.message);
+        }
+        let takes_flows = |host| {
+            hosts.get(host).is_some_and(|entry| {
+                entry.state == HostState::Ready && !self.catalogue.is_out(&entry.domain)
+            })
+        };
+        if let Some(mean) = loads.mean(now, own, takes_flows) {
+            self.options.commands.send(Command::Mean(mean));
+        }
+    }
+
     fn on_objects(&mut self, now: Time, list: &ObjectList) {
         let mut changed = false;
         for object in &list.objects {
@@ -196,7 +255,7 @@
         self.options.commands.send(Command::Service {
             id: spec.id,
             addresses,
-            limit: spec.connections_per_host(),
+            limits: Limits::of(&spec, self.options.weight),
         });
         if self.membership.is_none() {
             self.join(&spec);
@@ -228,6 +287,12 @@
             weight: self.options.weight,
         };
         info!(event = "joined", host:% = entry.host, service:% = spec.name; "agent serves the service");
+        self.loads = Some(LoadExchange::new(
+            entry.host,
+            entry.service,
+            entry.weight,
+            LoadExchangeOptions::default(),
+        ));
         self.membership = Some(AgentMembership::new(
             entry,
             AgentMembershipOptions::default(),
@@ -318,6 +383,8 @@
             "host": entry,
             "table": self.table.to_string(),
             "open_flows": self.open_flows,
+            "admission": self.admission,
+            "standing": self.gate.standing(),
             "domain_out": self.domain_out,
             "objects": self
                 .catalogue
--- a/crates/daemon/src/agent/mod.rs
+++ b/crates/daemon/src/agent/mod.rs
@@ -7,11 +7,13 @@
     crate::{
         burn::AgentTotals,
         control::{Event, run as run_control},
-        runtime::{Shell, watch_store},
+        freshness::{Confirmer, Lease},
+        runtime::{Shell, watch_server_load, watch_store},
         settings::{AgentSettings, Settings},
     },
     cardamomloom_core::{HostId, error::Error},
     cardamomloom_protocol::object::{DOMAINS_PREFIX, NODES_PREFIX, SERVICES_PREFIX},
+    cardamomloom_transport::server_load::LoadClient,
     control::{AgentControl, ControlOptions},
     log::info,
     packet_loop::PacketLoopOptions,
@@ -38,8 +40,10 @@
     let burn = Arc::new(AgentTotals::default());
     let recorder = shell.inspect.burn_recorder();
     recorder.set_source(burn.clone().source());
+    let lease = Lease::default();
     let loop_options = PacketLoopOptions {
         host,
+        lease: lease.clone(),
         key: settings.datagram_key(),
         backend_address: agent.backend_address,
         return_address: agent.return_address,
@@ -54,6 +58,10 @@
         shell.event_sender.clone(),
         shell.stop.clone(),
     )?;
+    if let Some(url) = &agent.load_url {
+        let watch = watch_server_load(LoadClient::new(url)?, shell.event_sender.clone());
+        shell.runtime.spawn(watch);
+    }
     for prefix in [SERVICES_PREFIX, DOMAINS_PREFIX, NODES_PREFIX] {
         let watch = watch_store(shell.store.clone(), prefix, shell.event_sender.clone());
         shell.runtime.spawn(watch);
@@ -70,6 +78,12 @@
         clock: shell.clock,
         sender: shell.control,
         commands,
+        lease,
+        confirmer: Confirmer::new(
+            shell.store.clone(),
+            shell.runtime.handle().clone(),
+            shell.event_sender.clone(),
+        ),
         inspect: shell.inspect,
     };
     let mut stakker = Stakker::new(Instant::now());
--- a/crates/daemon/src/agent/packet_loop.rs
+++ b/crates/daemon/src/agent/packet_loop.rs
@@ -5,9 +5,10 @@
         balancer::DropCounters,
         burn::{AgentTotals, Totals},
         control::{ControlSender, Event},
+        freshness::Lease,
     },
     cardamomloom_coordination::{
-        admission::FixedLimit,
+        admission::{AdmissionPolicy, Limits, MeanLoad, ServerReport, TrustOptions},
         agent::{Agent, AgentCounters, AgentIo},
         handover::Members,
         ownership::{FlowId, Hop, Ownership, OwnershipOptions},
@@ -33,6 +34,7 @@
     metrics::{Counter, Gauge},
     mio::{Events, Interest, Poll, Token, Waker, unix::SourceFd},
     std::{
+        collections::BTreeSet,
         io::Result as IoResult,
         net::{SocketAddr, UdpSocket},
         os::fd::AsRawFd,
@@ -59,6 +61,8 @@
 pub struct PacketLoopOptions {
     /// Own host.
     pub host: HostId,
+    /// Permission to forward and deliver.
+    pub lease: Lease,
     /// Key of datagrams between processes.
     pub key: DatagramKey,
     /// Address of the backend server.
@@ -78,14 +82,14 @@
 /// Change of configuration for the packet loop.
 #[derive(Debug)]
 pub enum Command {
-    /// The service of the host, its addresses and connection limit.
+    /// The service of the host, its addresses and limits.
     Service {
         /// Identifier of the service.
         id: ServiceId,
         /// Addresses that callers use.
         addresses: Vec<SocketAddr>,
-        /// Connections that the backend server can hold.
-        limit: u32,
+        /// Limits of the host.
+        limits: Limits,
     },
     /// A new candidate table with its agents.
     Table(Arc<CandidateTable>, Members),
@@ -95,6 +99,10 @@
     DomainOut(bool),
     /// Whether new flows are accepted.
     Accepting(bool),
+    /// The mean load of the service.
+    Mean(MeanLoad),
+    /// What the backend server says about itself.
+    ServerReport(ServerReport),
 }
 
 /// Sends commands to the packet loop and wakes it.
@@ -154,6 +162,11 @@
     options: PacketLoopOptions,
     events: SyncSender<Event>,
     commands: Receiver<Command>,
+    /// Time until which packets are processed, read before the commands of a wake-up are taken.
+    forward_until: Time,
+    /// Connections whose events wait until the configuration is confirmed; an event is reported
+    /// only once.
+    deferred: BTreeSet<u64>,
     next_report: Time,
     published: AgentCounters,
     metrics: AgentMetrics,
@@ -161,6 +174,7 @@
 
 struct AgentMetrics {
     open_flows: Gauge,
+    trusted: Gauge,
     opened: Counter,
     redirected: Counter,
     forwarded: Counter,
@@ -172,6 +186,7 @@
     fn default() -> Self {
         Self {
             open_flows: metrics::gauge!("cardamomloom_open_flows"),
+            trusted: metrics::gauge!("cardamomloom_trusted_connections"),
             opened: metrics::counter!("cardamomloom_opened_flows_total"),
             redirected: metrics::counter!("cardamomloom_redirected_flows_total"),
             forwarded: metrics::counter!("cardamomloom_forwarded_packets_total"),
@@ -205,6 +220,8 @@
             options,
             events,
             commands,
+            forward_until: Time::ZERO,
+            deferred: BTreeSet::new(),
             next_report: Time::ZERO,
             published: AgentCounters::default(),
             metrics: AgentMetrics::default(),
@@ -221,29 +238,46 @@
             {
                 warn!(event = "poll_failed"; "{error}");
             }
+            self.forward_until = self.options.lease.until();
             self.take_commands();
             for event in &events {
                 match event.token() {
                     PACKET_TOKEN => self.receive_packets(&mut received),
                     WAKE_TOKEN => {}
-                    Token(flow) => self.on_stream_event(flow as u64),
+                    Token(flow) => {
+                        self.deferred.insert(flow as u64);
+                    }
                 }
             }
-            let now = self.options.clock.now();
-            if let Some(agent) = self.agent.as_mut() {
-                agent.on_timer(now, &mut self.io);
-                for due in agent.ownership_mut().on_tick(now) {
-                    self.options.control.send(due.to, &due.message);
-                }
+            self.process_streams();
+            self.report(self.options.clock.now());
+        }
+    }
+
+    /// Processes connections and timers while the configuration is known to be current.
+    fn process_streams(&mut self) {
+        let now = self.options.clock.now();
+        if now >= self.forward_until {
+            return;
+        }
+        for flow in std::mem::take(&mut self.deferred) {
+            self.on_stream_event(flow);
+        }
+        if let Some(agent) = self.agent.as_mut() {
+            agent.on_timer(now, &mut self.io);
+            for due in agent.ownership_mut().on_tick(now) {
+                self.options.control.send(due.to, &due.message);
             }
-            self.report(now);
         }
     }
 
     fn poll_timeout(&self) -> Duration {
         let now = self.options.clock.now();
+        // Timers that are due wait for the confirmation, which the waker does not report.
+        let may_run = now < self.options.lease.until();
         self.agent
             .as_ref()
+            .filter(|_| may_run)
             .and_then(Agent::next_timer)
             .map_or(MAX_WAIT, |due| due.since(now).to_duration().min(MAX_WAIT))
     }
@@ -259,8 +293,12 @@
                 }
             };
             let now = self.options.clock.now();
-            for (datagram, _) in received.datagrams() {
-                self.on_datagram(now, datagram);
+            if now >= self.forward_until {
+                self.io.drops.add(DropCause::Stale, count as u64);
+            } else {
+                for (datagram, _) in received.datagrams() {
+                    self.on_datagram(now, datagram);
+                }
             }
             if count < BATCH {
                 return;
@@ -307,14 +345,15 @@
         if let Command::Service {
             id,
             addresses,
-            limit,
+            limits,
         } = command
         {
             self.options.burn.set_service(id);
             let (host, seed) = (self.options.host, self.options.seed);
             let agent = self
                 .agent
-                .get_or_insert_with(|| new_agent(host, id, limit, seed));
+                .get_or_insert_with(|| new_agent(host, id, limits, seed));
+            agent.admission_mut().set_limits(limits);
             agent.ownership_mut().set_addresses(addresses);
             return;
         }
@@ -336,9 +375,14 @@
                 if out {
                     info!(event = "domain_out"; "failure domain is out; flows are given up");
                     agent.close_all(&mut self.io);
+                } else {
+                    // The backend server had no load while the failure domain was out.
+                    agent.admission_mut().become_cold(now);
                 }
             }
             Command::Accepting(accepting) => agent.admission_mut().set_accepting(accepting),
+            Command::Mean(mean) => agent.admission_mut().observe_mean(now, mean),
+            Command::ServerReport(report) => agent.admission_mut().observe_report(now, report),
             Command::Service { .. } => {}
         }
     }
@@ -371,16 +415,19 @@
             bad: counters.refused_opening,
         });
         self.published = counters;
-        let open = agent.flow_count();
+        let (open, admission) = (agent.flow_count(), agent.admission().status());
+        self.metrics
+            .trusted
+            .set(f64::from(admission.trusted_connections));
         // A full queue only delays the next report.
-        let _ = self.events.try_send(Event::Flows { open });
+        let _ = self.events.try_send(Event::Flows { open, admission });
     }
 }
 
-fn new_agent(host: HostId, service: ServiceId, limit: u32, seed: u64) -> Agent {
+fn new_agent(host: HostId, service: ServiceId, limits: Limits, seed: u64) -> Agent {
     Agent::new(
         Ownership::new(host, service, OwnershipOptions::default()),
-        Box::new(FixedLimit::new(limit)),
+        Box::new(AdmissionPolicy::new(limits, TrustOptions::default())),
         TerminationOptions::default(),
         seed,
     )
--- a/crates/daemon/src/balancer/mod.rs
+++ b/crates/daemon/src/balancer/mod.rs
@@ -9,6 +9,7 @@
 use {
     crate::{
         control::{Event, run as run_control},
+        freshness::{Confirmer, Lease},
         runtime::{Registration, Shell, watch_store},
         settings::{BalancerSettings, Settings},
     },
@@ -18,6 +19,7 @@
     cardamomloom_state::routing::RoutingTable,
     control::{BalancerControl, ControlOptions},
     log::info,
+    packet_loop::PacketLoop,
     siphasher::sip::SipHasher13,
     stakker::{Stakker, actor, fwd_to, ret_shutdown},
     std::{
@@ -45,11 +47,16 @@
         .inspect
         .burn_recorder()
         .set_source(refusals::source(refused.clone()));
+    let lease = Lease::default();
     let packets = packet_loop::spawn(
-        shell.data_socket,
-        routing.clone(),
-        settings.datagram_key(),
-        refused,
+        PacketLoop {
+            socket: shell.data_socket,
+            routing: routing.clone(),
+            lease: lease.clone(),
+            clock: shell.clock,
+            key: settings.datagram_key(),
+            refused,
+        },
         shell.stop.clone(),
     )?;
     for prefix in [SERVICES_PREFIX, DOMAINS_PREFIX] {
@@ -73,6 +80,12 @@
         sender: shell.control,
         routing,
         inspect: shell.inspect,
+        lease,
+        confirmer: Confirmer::new(
+            shell.store.clone(),
+            shell.runtime.handle().clone(),
+            shell.event_sender.clone(),
+        ),
         linger: Span::from_millis(balancer.linger_ms),
     };
     let mut stakker = Stakker::new(Instant::now());
--- a/crates/daemon/src/balancer/packet_loop.rs
+++ b/crates/daemon/src/balancer/packet_loop.rs
@@ -2,12 +2,16 @@
 
 use {
     super::refusals::{Published, Refusals},
+    crate::freshness::Lease,
     arc_swap::ArcSwap,
     cardamomloom_coordination::balancer::{Route, route},
     cardamomloom_core::error::{Error, io},
     cardamomloom_protocol::{forward::DatagramKey, packet::DropCause},
     cardamomloom_state::routing::RoutingTable,
-    cardamomloom_transport::udp::{self, BATCH, Outgoing, ReceiveBatch, SendBatch, Wait},
+    cardamomloom_transport::{
+        clock::MonotonicClock,
+        udp::{self, BATCH, Outgoing, ReceiveBatch, SendBatch, Wait},
+    },
     log::warn,
     metrics::Counter,
     std::{
@@ -46,37 +50,47 @@
     }
 }
 
+/// What the packet loop works with.
+pub struct PacketLoop {
+    /// Packet socket; it needs a receive timeout, after which the loop looks at its stop flag.
+    pub socket: UdpSocket,
+    /// Routing table, replaced by the control thread.
+    pub routing: Arc<ArcSwap<RoutingTable>>,
+    /// Time until which packets may be forwarded.
+    pub lease: Lease,
+    /// Clock of the process.
+    pub clock: MonotonicClock,
+    /// Key of datagrams between processes.
+    pub key: DatagramKey,
+    /// Totals of refused flows, for the burn report.
+    pub refused: Published,
+}
+
 /// Starts the packet loop.
 ///
 /// # Errors
 ///
 /// Fails with kind `io` when the socket or the thread cannot be set up.
-pub fn spawn(
-    socket: UdpSocket,
-    routing: Arc<ArcSwap<RoutingTable>>,
-    key: DatagramKey,
-    refused: Published,
-    stop: Arc<AtomicBool>,
-) -> Result<thread::JoinHandle<()>> {
-    udp::set_receive_timeout(&socket, RECEIVE_TIMEOUT)?;
+pub fn spawn(packet_loop: PacketLoop, stop: Arc<AtomicBool>) -> Result<thread::JoinHandle<()>> {
+    udp::set_receive_timeout(&packet_loop.socket, RECEIVE_TIMEOUT)?;
     thread::Builder::new()
         .name("packets".to_owned())
         .spawn(move || {
-            forward_packets(&socket, &routing, key, refused, &stop);
+            forward_packets(packet_loop, &stop);
         })
         .map_err(|error| io(format!("packet loop: cannot start a thread: {error}")))
 }
 
 /// Forwards packets until `stop` is set and the socket is empty, and returns how many were sent.
-///
-/// The socket needs a receive timeout, after which the loop looks at `stop`.
-pub fn forward_packets(
-    socket: &UdpSocket,
-    routing: &ArcSwap<RoutingTable>,
-    key: DatagramKey,
-    refused: Published,
-    stop: &AtomicBool,
-) -> u64 {
+pub fn forward_packets(packet_loop: PacketLoop, stop: &AtomicBool) -> u64 {
+    let PacketLoop {
+        socket,
+        routing,
+        lease,
+        clock,
+        key,
+        refused,
+    } = packet_loop;
     let mut total = 0;
     let forwarded = metrics::counter!("cardamomloom_forwarded_packets_total");
     let drops = DropCounters::default();
@@ -85,7 +99,7 @@
     let mut sender = SendBatch::default();
     loop {
         refusals.publish();
-        match received.receive(socket, Wait::ForOne) {
+        match received.receive(&socket, Wait::ForOne) {
             // The socket is drained before the loop ends, so that no packet that the fabric
             // already handed over is lost.
             Ok(0) if stop.load(Ordering::Relaxed) => return total,
@@ -96,6 +110,7 @@
                 continue;
             }
         }
+        let forward_until = lease.until();
         let table = routing.load();
         let mut routes: [Option<Route<'_>>; BATCH] = [const { None }; BATCH];
         let mut count = 0;
@@ -115,7 +130,12 @@
         }
         let outgoing: [Outgoing<'_>; BATCH] =
             std::array::from_fn(|index| to_outgoing(routes[index].as_ref()));
-        let sent = sender.send(socket, &outgoing[..count]);
+        // Checked as late as possible: a pause before this line is seen.
+        if clock.now() >= forward_until {
+            drops.add(DropCause::Stale, count as u64);
+            continue;
+        }
+        let sent = sender.send(&socket, &outgoing[..count]);
         forwarded.increment(sent as u64);
         total += sent as u64;
         drops.add(DropCause::SendFailed, (count - sent) as u64);
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -1,8 +1,9 @@
 //! The control thread: runs `stakker` actors on events from sockets and the store.
 
 use {
+    cardamomloom_coordination::admission::{AdmissionStatus, ServerReport},
     cardamomloom_core::{
-        Incarnation,
+        Incarnation, Time,
         error::{Error, io},
     },
     cardamomloom_protocol::{
@@ -54,7 +55,16 @@
     Flows {
         /// Open flows.
         open: usize,
+        /// State of the admission.
+        admission: AdmissionStatus,
     },
+    /// All objects that were current at a time were sent as events before this one.
+    Confirmed {
+        /// Time of the question to the store.
+        asked: Time,
+    },
+    /// The backend server reported its load.
+    ServerReport(ServerReport),
     /// The process is asked to stop.
     Stop,
 }
--- a/crates/daemon/tests/balancer_allocations.rs
+++ b/crates/daemon/tests/balancer_allocations.rs
@@ -3,7 +3,13 @@
 use {
     arc_swap::ArcSwap,
     cardamomloom_core::{DomainName, HostId, Incarnation, ObjectVersion, ServiceId, Weight},
-    cardamomloom_daemon::balancer::{packet_loop, refusals::Published},
+    cardamomloom_daemon::{
+        balancer::{
+            packet_loop::{self, PacketLoop},
+            refusals::Published,
+        },
+        freshness::Lease,
+    },
     cardamomloom_protocol::{
         control::{HostEntry, HostState},
         forward::DatagramKey,
@@ -11,6 +17,7 @@
         store_api::Object,
     },
     cardamomloom_state::{catalogue::Catalogue, hosts::HostTable, routing::RoutingTable},
+    cardamomloom_transport::clock::MonotonicClock,
     stats_alloc::{INSTRUMENTED_SYSTEM, Region, StatsAlloc},
     std::{
         alloc::System,
@@ -87,10 +94,14 @@
     let table = routing(agent.local_addr().expect("bound"));
     let stop = Arc::new(AtomicBool::new(false));
     let thread = packet_loop::spawn(
-        balancer,
-        Arc::new(ArcSwap::from_pointee(table)),
-        DatagramKey([1; 16]),
-        Published::default(),
+        PacketLoop {
+            socket: balancer,
+            routing: Arc::new(ArcSwap::from_pointee(table)),
+            lease: Lease::unlimited(),
+            clock: MonotonicClock::start(),
+            key: DatagramKey([1; 16]),
+            refused: Published::default(),
+        },
         stop.clone(),
     )
     .expect("a thread");
