daemon: show the handover of an agent

Cause: nothing showed whether real agents exchange handover messages.

Change: the status and the metric cardamomloom_handover_directory_entries show the directory, whether the agent is authoritative and whether its own flows were confirmed.

--- a/crates/daemon/src/agent/control.rs
+++ b/crates/daemon/src/agent/control.rs
@@ -7,7 +7,7 @@
         inspect::DaemonInspect,
     },
     cardamomloom_coordination::{
-        handover::{Members, Peer},
+        handover::{HandoverStatus, Members, Peer},
         membership::{AgentMembership, AgentMembershipOptions},
     },
     cardamomloom_core::{
@@ -86,6 +86,7 @@
     domain_out: bool,
     table: TableVersion,
     open_flows: usize,
+    handover: HandoverStatus,
     stopping: Stopping,
 }
 
@@ -102,6 +103,7 @@
             domain_out: false,
             table: TableVersion::default(),
             open_flows: 0,
+            handover: HandoverStatus::default(),
             stopping: Stopping::No,
         })
     }
@@ -120,7 +122,10 @@
                 }
                 self.update_table(false);
             }
-            Event::Flows { open } => self.open_flows = open,
+            Event::Flows { open, handover } => {
+                self.open_flows = open;
+                self.handover = handover;
+            }
             Event::Stop => self.start_drain(now),
         }
         self.advance_stop(cx, now);
@@ -318,6 +323,11 @@
             "host": entry,
             "table": self.table.to_string(),
             "open_flows": self.open_flows,
+            "handover": {
+                "directory_entries": self.handover.directory_entries,
+                "authoritative": self.handover.is_authoritative,
+                "confirmed": self.handover.is_confirmed,
+            },
             "domain_out": self.domain_out,
             "objects": self
                 .catalogue
--- a/crates/daemon/src/agent/packet_loop.rs
+++ b/crates/daemon/src/agent/packet_loop.rs
@@ -161,6 +161,7 @@
 
 struct AgentMetrics {
     open_flows: Gauge,
+    directory_entries: Gauge,
     opened: Counter,
     redirected: Counter,
     forwarded: Counter,
@@ -172,6 +173,7 @@
     fn default() -> Self {
         Self {
             open_flows: metrics::gauge!("cardamomloom_open_flows"),
+            directory_entries: metrics::gauge!("cardamomloom_handover_directory_entries"),
             opened: metrics::counter!("cardamomloom_opened_flows_total"),
             redirected: metrics::counter!("cardamomloom_redirected_flows_total"),
             forwarded: metrics::counter!("cardamomloom_forwarded_packets_total"),
@@ -372,8 +374,12 @@
         });
         self.published = counters;
         let open = agent.flow_count();
+        let handover = agent.ownership().handover().status();
+        self.metrics
+            .directory_entries
+            .set(handover.directory_entries as f64);
         // A full queue only delays the next report.
-        let _ = self.events.try_send(Event::Flows { open });
+        let _ = self.events.try_send(Event::Flows { open, handover });
     }
 }
 
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! The control thread: runs `stakker` actors on events from sockets and the store.
 
 use {
+    cardamomloom_coordination::handover::HandoverStatus,
     cardamomloom_core::{
         Incarnation,
         error::{Error, io},
@@ -54,6 +55,8 @@
     Flows {
         /// Open flows.
         open: usize,
+        /// Progress of the handover.
+        handover: HandoverStatus,
     },
     /// The process is asked to stop.
     Stop,
