--- a/crates/coordination/src/handover/mod.rs
+++ b/crates/coordination/src/handover/mod.rs
@@ -59,8 +59,11 @@
     /// Time for which a flow stays unknown here before its packets are answered with a reset.
     /// It exceeds the 3 s within which a change of a host reaches every balancer and agent.
     pub settle_span: Span,
-    /// Least time between two queries to the same agent.
+    /// Time after which an unanswered query is repeated.
     pub query_interval: Span,
+    /// Least time between the starts of two rounds, so that unknown packets at any rate cause few
+    /// queries.
+    pub round_interval: Span,
     /// Time for which an unknown flow is remembered. It exceeds the settling time by several
     /// retransmissions of a caller.
     pub sighting_span: Span,
@@ -79,12 +82,24 @@
             max_entries: 200_000,
             settle_span: Span::from_secs(10),
             query_interval: Span::from_millis(500),
+            round_interval: Span::from_secs(5),
             sighting_span: Span::from_secs(60),
             max_sightings: 4_096,
         }
     }
 }
 
+/// How far the handover of an agent has come.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct HandoverStatus {
+    /// Flows of other agents in the directory.
+    pub directory_entries: usize,
+    /// Whether every live agent has confirmed its flows for the present table.
+    pub is_authoritative: bool,
+    /// Whether every other agent has confirmed the own flows.
+    pub is_confirmed: bool,
+}
+
 /// What to do with a packet whose flow is neither here nor in the directory.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Unknown {
@@ -178,22 +193,14 @@
         self.directory.owners_of(now, flow)
     }
 
-    /// Tells whether every live agent has confirmed its flows for the present table.
-    #[must_use]
-    pub const fn is_authoritative(&self) -> bool {
-        self.authoritative
-    }
-
-    /// Returns the number of directory entries.
+    /// Returns how far the handover has come.
     #[must_use]
-    pub fn entry_count(&self) -> usize {
-        self.directory.len()
-    }
-
-    /// Tells whether every part of the own lists was confirmed.
-    #[must_use]
-    pub fn is_confirmed(&self) -> bool {
-        self.outboxes.is_confirmed()
+    pub fn status(&self) -> HandoverStatus {
+        HandoverStatus {
+            directory_entries: self.directory.len(),
+            is_authoritative: self.authoritative,
+            is_confirmed: self.outboxes.is_confirmed(),
+        }
     }
 
     /// Decides about a packet of an unknown flow.
--- a/crates/coordination/tests/flows/scenarios.rs
+++ b/crates/coordination/tests/flows/scenarios.rs
@@ -43,7 +43,10 @@
 fn run_change(world: &mut World, words: &[&str]) -> bool {
     match words {
         ["wait", span] => world.advance(Span::from_str(span).expect("a span")),
-        ["join", hosts @ ..] => hosts.iter().for_each(|host| world.join(number(host))),
+        ["join", hosts @ ..] => {
+            let hosts: Vec<usize> = hosts.iter().map(|host| number(host)).collect();
+            world.join_at_once(&hosts);
+        }
         ["drain", host] => world.drain(number(host)),
         ["remove", hosts @ ..] => {
             let hosts: Vec<usize> = hosts.iter().map(|host| number(host)).collect();
@@ -84,6 +87,11 @@
                 world.restart_caller(flow, number(balancer));
             }
         }
+        ["abort", "via", balancer] => {
+            for flow in 0..world.flows.len() {
+                world.abort(flow, number(balancer));
+            }
+        }
         ["reuse", count, "via", balancer] => {
             for flow in 0..number(count) {
                 world.reuse(flow, number(balancer));
--- a/crates/daemon/src/agent/packet_loop.rs
+++ b/crates/daemon/src/agent/packet_loop.rs
@@ -175,6 +175,7 @@
 struct AgentMetrics {
     open_flows: Gauge,
     trusted: Gauge,
+    directory_entries: Gauge,
     opened: Counter,
     redirected: Counter,
     forwarded: Counter,
@@ -187,6 +188,7 @@
         Self {
             open_flows: metrics::gauge!("cardamomloom_open_flows"),
             trusted: metrics::gauge!("cardamomloom_trusted_connections"),
+            directory_entries: metrics::gauge!("cardamomloom_handover_directory_entries"),
             opened: metrics::counter!("cardamomloom_opened_flows_total"),
             redirected: metrics::counter!("cardamomloom_redirected_flows_total"),
             forwarded: metrics::counter!("cardamomloom_forwarded_packets_total"),
@@ -415,12 +417,21 @@
             bad: counters.refused_opening,
         });
         self.published = counters;
-        let (open, admission) = (agent.flow_count(), agent.admission().status());
+        let open = agent.flow_count();
+        let admission = agent.admission().status();
+        let handover = agent.ownership().handover().status();
         self.metrics
             .trusted
             .set(f64::from(admission.trusted_connections));
+        self.metrics
+            .directory_entries
+            .set(handover.directory_entries as f64);
         // A full queue only delays the next report.
-        let _ = self.events.try_send(Event::Flows { open, admission });
+        let _ = self.events.try_send(Event::Flows {
+            open,
+            admission,
+            handover,
+        });
     }
 }
 
