--- a/crates/cli/src/commands/report/mod.rs
+++ b/crates/cli/src/commands/report/mod.rs
@@ -10,7 +10,7 @@
         processes::{self, Answered},
     },
     cardamomloom_core::{
-        PartsPerMillion, ServiceId, ServiceName,
+        Alert, PartsPerMillion, ServiceId, ServiceName,
         error::{Error, ErrorKind, Result, invalid_argument, io},
     },
     cardamomloom_protocol::object::{self, SERVICES_PREFIX, ServiceSpec},
@@ -57,10 +57,19 @@
             "service": self.name,
             "objective_success_ppm": self.objective,
             "urgency": self.urgency,
+            "alert": self.alert().map(|alert| alert.entry().name),
             "windows": windows.collect::<Vec<_>>(),
         })
     }
 
+    const fn alert(&self) -> Option<Alert> {
+        match self.urgency {
+            Urgency::None => None,
+            Urgency::Ticket => Some(Alert::BurnTicket),
+            Urgency::Page => Some(Alert::BurnPage),
+        }
+    }
+
     fn row(&self) -> Vec<String> {
         let mut row = vec![self.name.to_string(), self.objective.0.to_string()];
         for index in 0..WINDOWS_S.len() {
@@ -75,11 +84,11 @@
                 ),
             });
         }
-        row.push(match self.urgency {
-            Urgency::None => String::new(),
-            Urgency::Ticket => "ticket".to_owned(),
-            Urgency::Page => "page".to_owned(),
-        });
+        row.push(
+            self.alert()
+                .map(|alert| alert.to_string())
+                .unwrap_or_default(),
+        );
         row
     }
 }
@@ -175,7 +184,7 @@
             "1 H",
             "6 H",
             "3 D",
-            "URGENCY",
+            "ALERT",
         ],
         &rows,
     );
--- a/crates/cli/src/commands/status.rs
+++ b/crates/cli/src/commands/status.rs
@@ -6,7 +6,7 @@
         output::{Output, cell, table},
         processes::{self, Answered},
     },
-    cardamomloom_core::{ObjectVersion, error::Result},
+    cardamomloom_core::{Alert, ObjectVersion, error::Result},
     cardamomloom_protocol::object::{DOMAINS_PREFIX, SERVICES_PREFIX},
     serde_json::{Value, json},
     std::collections::BTreeMap,
@@ -33,14 +33,16 @@
         .collect();
     let mut degraded = degraded(&nodes);
     if let Err(error) = &stored {
-        degraded.insert(0, format!("store: {}", error.message));
+        let message = format!("store: {}", error.message);
+        let alert = Alert::StoreUnavailable;
+        degraded.insert(0, Degraded { alert, message });
     }
     Ok(Output {
         text: text(&nodes, wanted, &degraded),
         json: json!({
             "objects": wanted,
             "balancers": nodes.iter().map(shown).collect::<Vec<_>>(),
-            "degraded": degraded,
+            "degraded": degraded.iter().map(Degraded::shown).collect::<Vec<_>>(),
         }),
     })
 }
@@ -85,33 +87,51 @@
     }
 }
 
-fn degraded(nodes: &[Node]) -> Vec<String> {
+/// Something that does not work as it should.
+struct Degraded {
+    alert: Alert,
+    message: String,
+}
+
+impl Degraded {
+    fn shown(&self) -> Value {
+        json!({"alert": self.alert.entry().name, "message": self.message})
+    }
+}
+
+fn degraded(nodes: &[Node]) -> Vec<Degraded> {
     let mut found = Vec::new();
     for node in nodes {
         let name = &node.answered.name;
+        let mut add = |alert, message: String| {
+            let message = format!("{name}: {message}");
+            found.push(Degraded { alert, message });
+        };
         match &node.answered.answer {
-            Err(error) => found.push(format!("{name}: {}", error.message)),
+            Err(error) => add(Alert::BalancerUnreachable, error.message.to_string()),
             Ok(status) => {
                 for object in list(&status["objects_invalid"]) {
-                    found.push(format!(
-                        "{name}: {} version {} is invalid and not in force: {}",
-                        cell(&object["key"]),
-                        cell(&object["version"]),
-                        cell(&object["reason"])
-                    ));
+                    let [key, version, reason] =
+                        ["key", "version", "reason"].map(|field| cell(&object[field]));
+                    add(
+                        Alert::ObjectInvalid,
+                        format!("{key} version {version} is invalid and not in force: {reason}"),
+                    );
                 }
                 for problem in list(&status["problems"]) {
-                    found.push(format!("{name}: {}", cell(problem)));
+                    add(Alert::ClaimNotInForce, cell(problem));
                 }
                 for domain in list(&status["domains_out"]) {
-                    found.push(format!("{name}: failure domain {} is out", cell(domain)));
+                    let message = format!("failure domain {} is out", cell(domain));
+                    add(Alert::DomainOut, message);
                 }
             }
         }
         for (key, present, wanted) in &node.lags {
-            found.push(format!(
-                "{name}: lags: {key} has version {present}, the store has {wanted}"
-            ));
+            add(
+                Alert::VersionLag,
+                format!("lags: {key} has version {present}, the store has {wanted}"),
+            );
         }
     }
     found
@@ -137,7 +157,7 @@
     })
 }
 
-fn text(nodes: &[Node], wanted: &BTreeMap<String, ObjectVersion>, degraded: &[String]) -> String {
+fn text(nodes: &[Node], wanted: &BTreeMap<String, ObjectVersion>, degraded: &[Degraded]) -> String {
     let rows: Vec<Vec<String>> = nodes
         .iter()
         .map(|node| {
@@ -179,7 +199,10 @@
     let degraded = if degraded.is_empty() {
         "nothing is degraded\n".to_owned()
     } else {
-        format!("degraded:\n  {}\n", degraded.join("\n  "))
+        let lines = degraded
+            .iter()
+            .map(|degraded| format!("  {} [{}]\n", degraded.message, degraded.alert));
+        format!("degraded:\n{}", lines.collect::<String>())
     };
     format!(
         "{}\n{}\n{degraded}",
--- a/crates/cli/tests/command/changes.rs
+++ b/crates/cli/tests/command/changes.rs
@@ -224,11 +224,28 @@
     ];
     world.expect(0, &forced)?;
     world.expect(0, &["domain", "in", "tas-hobart"])?;
+    let back = world.expect(5, &["delete", "domains/tas-devonport"])?;
+    assert!(back.contains("one without an object is in"), "{back}");
     assert_eq!(world.value("domains/tas-hobart")["state"], "in");
     assert_eq!(world.value("domains/tas-devonport")["reason"], "fire");
     Ok(())
 }
 
+/// Guards against a registration that is deleted by mistake, and one of a lost instance that
+/// cannot be deleted.
+#[test]
+fn verify_deletion_of_a_registration_needs_force() -> Result<()> {
+    let world = World::start()?;
+    world.register(1, "127.0.0.1:9".parse()?)?;
+    world.write("status/readers", json!({}))?;
+    world.expect(5, &["delete", "nodes/n-1"])?;
+    world.expect(0, &["delete", "nodes/n-1", "--force"])?;
+    assert_eq!(world.version("nodes/n-1"), 0);
+    world.expect(2, &["delete", "status/readers", "--force"])?;
+    assert_eq!(world.version("status/readers"), 2);
+    Ok(())
+}
+
 /// Guards against a connection limit below the present use, known or not.
 #[test]
 fn verify_limit_below_use_needs_force() -> Result<()> {
@@ -255,6 +272,7 @@
         below.contains("becomes 4000 per host, and a host has 5000"),
         "{below}"
     );
+    world.expect(5, &["delete", "services/bookings"])?;
     let above = [
         &["--agents", &agents],
         &edit("connections_per_slot=1500")[..],
--- a/crates/cli/tests/installation.rs
+++ b/crates/cli/tests/installation.rs
@@ -55,7 +55,9 @@
 fn degraded(installation: &Installation) -> Result<String> {
     let status = run(installation, 0, &["status"])?;
     let lines = status["degraded"].as_array().into_iter().flatten();
-    let lines: Vec<&str> = lines.filter_map(Value::as_str).collect();
+    let lines: Vec<&str> = lines
+        .filter_map(|degraded| degraded["message"].as_str())
+        .collect();
     Ok(lines.join("\n"))
 }
 
--- a/crates/coordination/src/changes/danger.rs
+++ b/crates/coordination/src/changes/danger.rs
@@ -6,7 +6,7 @@
         error::{Error, ErrorKind, invalid_argument},
     },
     cardamomloom_protocol::object::{
-        self, DOMAINS_PREFIX, DomainSpec, DomainState, SERVICES_PREFIX, ServiceSpec,
+        self, DOMAINS_PREFIX, DomainSpec, DomainState, NODES_PREFIX, SERVICES_PREFIX, ServiceSpec,
     },
     serde_json::Value,
     std::{collections::BTreeMap, sync::Arc},
@@ -51,11 +51,22 @@
     Err(other_key(key))
 }
 
-/// Returns the error for a key that operators do not change.
-#[must_use]
-pub fn other_key(key: &str) -> Error {
+/// Checks that operators may delete the object of a key.
+///
+/// # Errors
+///
+/// Fails with kind `invalid_argument` when the object belongs to the system.
+pub fn check_deletable(key: &str) -> Result<()> {
+    let deletable = [SERVICES_PREFIX, DOMAINS_PREFIX, NODES_PREFIX];
+    if deletable.iter().any(|prefix| key.starts_with(prefix)) {
+        return Ok(());
+    }
+    Err(other_key(key))
+}
+
+fn other_key(key: &str) -> Error {
     invalid_argument(format!(
-        "change: key is {key:?}; allowed are keys that start with {SERVICES_PREFIX:?} or {DOMAINS_PREFIX:?}"
+        "change: field \"key\" is {key:?}; allowed are keys that start with {SERVICES_PREFIX:?} or {DOMAINS_PREFIX:?}, and {NODES_PREFIX:?} to delete"
     ))
 }
 
@@ -103,7 +114,12 @@
     around: &Surroundings,
 ) -> Option<Arc<str>> {
     if let Some(name) = key.strip_prefix(DOMAINS_PREFIX) {
-        return domain_danger(name, to, around);
+        return domain_danger(name, from, to, around);
+    }
+    if key.starts_with(NODES_PREFIX) {
+        return Some(Arc::from(
+            "a running balancer does not register again; --wait and agents would miss it",
+        ));
     }
     let service = key.strip_prefix(SERVICES_PREFIX)?;
     let from: ServiceSpec = object::decode(key, from?).ok()?;
@@ -126,7 +142,17 @@
     }
 }
 
-fn domain_danger(name: &str, to: Option<&Value>, around: &Surroundings) -> Option<Arc<str>> {
+fn domain_danger(
+    name: &str,
+    from: Option<&Value>,
+    to: Option<&Value>,
+    around: &Surroundings,
+) -> Option<Arc<str>> {
+    if to.is_none() && from.is_some_and(|value| value["state"] == "out") {
+        return Some(Arc::from(format!(
+            "failure domain {name} is out, and one without an object is in; its hosts would take traffic"
+        )));
+    }
     let goes_out = to.is_some_and(|value| value["state"] == "out");
     if !goes_out {
         return None;
--- a/crates/coordination/src/changes/mod.rs
+++ b/crates/coordination/src/changes/mod.rs
@@ -236,6 +236,7 @@
             Intent::Replace(value) => Some(without_record(value)),
             Intent::Set(fields) => Some(with_fields(existing(&change.key, live.as_ref())?, fields)),
             Intent::Delete => {
+                danger::check_deletable(&change.key)?;
                 existing(&change.key, live.as_ref())?;
                 None
             }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -1,11 +1,13 @@
-//! Types shared by every cardamomloom crate: identifiers, units, time and error kinds.
+//! Types shared by every cardamomloom crate: identifiers, units, time, error kinds and alerts.
 
+pub mod alert;
 pub mod error;
 pub mod ids;
 pub mod time;
 pub mod units;
 
 pub use {
+    alert::{Alert, AlertEntry},
     error::{Answer, Error, ErrorKind},
     ids::{
         BucketId, DomainName, HostId, Incarnation, NodeId, ObjectVersion, OperationId, RegionName,
--- a/crates/daemon/src/agent/control.rs
+++ b/crates/daemon/src/agent/control.rs
@@ -206,9 +206,14 @@
             }
             match self.catalogue.apply(object) {
                 Ok(applied) => changed |= applied == Applied::Changed,
-                Err(error) => warn!(event = "object_invalid", key = object.key; "{error}"),
+                Err(error) => {
+                    metrics::counter!("cardamomloom_invalid_objects_total").increment(1);
+                    warn!(event = "object_invalid", key = object.key; "{error}");
+                }
             }
         }
+        metrics::gauge!("cardamomloom_objects_invalid")
+            .set(self.catalogue.rejected().count() as f64);
         if changed {
             self.on_catalogue(now);
         }
