daemon: agents without a usable service still obey their failure domain

Cause: an agent stopped reading its catalogue when its service was deleted, or had lost its id to another service, and so missed that its failure domain was taken out.

Change: the agent keeps its last service and goes on. Tests: real processes race on one object through a slow store; a failure domain is taken out after one service was deleted and another had lost its id.

--- a/crates/cli/tests/command/changes.rs
+++ b/crates/cli/tests/command/changes.rs
@@ -4,7 +4,7 @@
     crate::common::{Endpoint, Result, World, domain, service},
     cardamomloom_standins::store::{Faults, LostAnswers},
     serde_json::{Value, json},
-    std::{fs, path::PathBuf, sync::Arc},
+    std::{fs, path::PathBuf, sync::Arc, thread},
 };
 
 fn file(name: &str, text: &str) -> Result<String> {
@@ -289,3 +289,48 @@
     );
     Ok(())
 }
+
+/// Guards against processes that overwrite each other when they change one object at once.
+#[test]
+fn verify_racing_processes_overwrite_nothing() -> Result<()> {
+    let world = World::start()?;
+    world.write("services/bookings", service())?;
+    world.store.set_faults(Faults {
+        delay_ms: 20,
+        ..Faults::default()
+    });
+    let settings = [
+        "owner=a",
+        "port=81",
+        "class=bulk",
+        "slots_per_host=5",
+        "connections_per_slot=2001",
+        "slow_start_ms=1",
+        "drain_timeout_ms=1",
+        "objective_success_ppm=1",
+    ];
+    let ran: Vec<_> = thread::scope(|scope| {
+        let run = |set| world.run(&["edit", "services/bookings", "--set", set]);
+        let started = settings.map(|set| scope.spawn(move || run(set).ok()));
+        started
+            .into_iter()
+            .map(|thread| thread.join().ok().flatten())
+            .collect()
+    });
+    let value = world.value("services/bookings");
+    let mut accepted = 0;
+    for (set, ran) in settings.iter().zip(ran) {
+        let ran = ran.ok_or("a process did not run")?;
+        let (field, wanted) = set.split_once('=').unwrap_or_default();
+        let present = value[field].to_string().replace('"', "");
+        match ran.code {
+            0 => accepted += u64::from(present == wanted),
+            4 => assert!(ran.stderr.contains("nothing was written"), "{ran:?}"),
+            _ => return Err(format!("{set}: {ran:?}").into()),
+        }
+        assert_eq!(ran.code == 0, present == wanted, "{set}: {ran:?}: {value}");
+    }
+    assert_eq!(world.version("services/bookings"), 1 + accepted);
+    assert!(accepted >= 1);
+    Ok(())
+}
--- a/crates/cli/tests/command/views.rs
+++ b/crates/cli/tests/command/views.rs
@@ -80,6 +80,7 @@
         assert!(shown.contains(part), "{part}: {shown}");
     }
     let json: Value = serde_json::from_str(&world.expect(0, &["status", "--json"])?)?;
+    assert_eq!(json["degraded"][0]["alert"], "object_invalid");
     assert_eq!(json["balancers"][0]["lags"][0]["stored"], 1);
     assert_eq!(json["balancers"][1]["state"], "no answer");
     Ok(())
--- a/crates/cli/tests/installation.rs
+++ b/crates/cli/tests/installation.rs
@@ -5,7 +5,13 @@
     cardamomloom_standins::demo::{Customer, Installation, Load},
     cardamomloom_transport::store::{StoreClient, StoreOptions},
     serde_json::Value,
-    std::{env, error::Error, fs, process::Command, time::Duration},
+    std::{
+        env,
+        error::Error,
+        fs,
+        process::Command,
+        time::{Duration, Instant},
+    },
 };
 
 type Result<T> = std::result::Result<T, Box<dyn Error>>;
@@ -138,3 +144,43 @@
     fs::remove_dir_all(&folder)?;
     Ok(())
 }
+
+/// Guards against agents that take traffic in a failure domain that is out, because their service
+/// was deleted or lost its id before.
+#[test]
+fn verify_domain_out_reaches_agents_without_a_service() -> Result<()> {
+    let folder = env::temp_dir().join(format!("cardamomloom-out-{}", std::process::id()));
+    let installation = Installation::start(Customer::Lenas, &folder)?;
+    run(
+        &installation,
+        0,
+        &["delete", "services/catalogo", "--force", "--wait"],
+    )?;
+    let mut contested = run(&installation, 0, &["get", "services/pedidos"])?["value"].clone();
+    contested["name"] = Value::from("copia");
+    contested["addresses"] = serde_json::json!(["203.0.113.9"]);
+    write_unchecked(&installation, "services/copia", &contested)?;
+    // Written last, the service itself loses its id.
+    let mut rewritten = contested;
+    rewritten["name"] = Value::from("pedidos");
+    write_unchecked(&installation, "services/pedidos", &rewritten)?;
+    run(
+        &installation,
+        0,
+        &["domain", "out", "norte-b", "--reason", "flood"],
+    )?;
+
+    // The second host of each service is in norte-b. The bound of the design is 3 s.
+    let deadline = Instant::now() + Duration::from_secs(3);
+    let is_out = |service| -> Result<bool> {
+        Ok(installation.agent_status(service, 1)?["domain_out"] == true)
+    };
+    while !(is_out(0)? && is_out(1)?) {
+        assert!(
+            Instant::now() < deadline,
+            "an agent does not know that its failure domain is out"
+        );
+    }
+    fs::remove_dir_all(&folder)?;
+    Ok(())
+}
--- a/crates/daemon/src/agent/control.rs
+++ b/crates/daemon/src/agent/control.rs
@@ -244,14 +244,9 @@
     }
 
     fn on_catalogue(&mut self, now: Time) {
-        let Some(spec) = self.catalogue.service_named(&self.options.service).cloned() else {
-            warn!(event = "service_unknown", service:% = self.options.service; "the catalogue has no such service");
+        let Some(spec) = self.usable_service() else {
             return;
         };
-        if !self.catalogue.claims().has_id(&spec) {
-            warn!(event = "claim_not_in_force", service:% = spec.name; "another service has id {}; the last valid state stays", spec.id);
-            return;
-        }
         let addresses = spec
             .addresses
             .iter()
@@ -280,6 +275,21 @@
         self.update_table(true);
     }
 
+    /// Returns the service of the host. While the catalogue has none that is usable, the last one
+    /// stays, so that changes of the failure domain still take effect.
+    fn usable_service(&self) -> Option<Arc<ServiceSpec>> {
+        match self.catalogue.service_named(&self.options.service) {
+            Some(spec) if self.catalogue.claims().has_id(spec) => return Some(spec.clone()),
+            Some(spec) => {
+                warn!(event = "claim_not_in_force", service:% = spec.name; "another service has id {}; the last valid state stays", spec.id);
+            }
+            None => {
+                warn!(event = "service_unknown", service:% = self.options.service; "the catalogue has no such service");
+            }
+        }
+        self.spec.clone()
+    }
+
     fn join(&mut self, spec: &ServiceSpec) {
         let entry = HostEntry {
             host: self.options.host,
