coordination: settle writes although the store answers with old states

Cause: an old answer "does not exist", from before the object was created, was taken as proof of a deletion.

Change: the change logic reads the version of the store with the object, and an answer from before the replaced version says nothing. The command reads through the list call, which states that version.

--- a/crates/cli/src/commands/read.rs
+++ b/crates/cli/src/commands/read.rs
@@ -4,16 +4,16 @@
     crate::{
         arguments::{GetOptions, ListOptions},
         context::Context,
+        driver,
         output::{Output, cell, table},
     },
-    cardamomloom_coordination::changes::{Verdict, judge_deletion, judge_write},
+    cardamomloom_coordination::changes::{Seen, Verdict, judge_deletion, judge_write},
     cardamomloom_core::{
         ObjectVersion, OperationId,
         error::{Error, ErrorKind, Result, invalid_argument},
     },
-    cardamomloom_protocol::{
-        object::{DOMAINS_PREFIX, NODES_PREFIX, SERVICES_PREFIX, history::without_record},
-        store_api::Object,
+    cardamomloom_protocol::object::{
+        DOMAINS_PREFIX, NODES_PREFIX, SERVICES_PREFIX, history::without_record,
     },
     serde_json::{Value, json},
 };
@@ -26,11 +26,11 @@
             "arguments: fields \"--operation\" and \"--base\" belong together; allowed is both or neither",
         ));
     }
-    let present = context.store.get(&options.key).await?;
+    let seen = driver::read(context, &options.key).await?;
     if let (Some(operation), Some(base)) = (options.operation, options.base) {
-        return settle(options, present.as_ref(), operation, base);
+        return settle(options, &seen, operation, base);
     }
-    let Some(object) = present else {
+    let Some(object) = seen.present else {
         return Err(Error::new(
             ErrorKind::NotFound,
             format!("get: object {:?} does not exist", options.key),
@@ -50,15 +50,15 @@
 /// Tells whether a write whose answer was lost took effect.
 fn settle(
     options: &GetOptions,
-    present: Option<&Object>,
+    seen: &Seen,
     operation: OperationId,
     base: ObjectVersion,
 ) -> Result<Output> {
     let key = &options.key;
     let verdict = if options.deletion {
-        judge_deletion(present, base)
+        judge_deletion(seen, base)
     } else {
-        judge_write(present, base, operation)
+        judge_write(seen, base, operation)
     };
     let unknown = |reason: &str| {
         Err(Error::new(
@@ -77,6 +77,9 @@
                 "get: operation {operation} on {key:?}: not done, and it never will be: another write replaced version {base}"
             ),
         )),
+        Verdict::Pending if seen.store_version < base => unknown(&format!(
+            "the store answered with a state from before version {base}; run this command again"
+        )),
         Verdict::Pending if base == ObjectVersion(0) => unknown(
             "the object does not exist, and the store may still accept the write; run this command again, or create the object, which rules the write out while the object exists",
         ),
--- a/crates/cli/src/driver/mod.rs
+++ b/crates/cli/src/driver/mod.rs
@@ -3,7 +3,7 @@
 use {
     crate::{context::Context, processes},
     cardamomloom_coordination::changes::{
-        Action, Change, ChangeMachine, ChangeOptions, Difference, Event, Intent, Outcome,
+        Action, Change, ChangeMachine, ChangeOptions, Difference, Event, Intent, Outcome, Seen,
         Surroundings, Written,
     },
     cardamomloom_core::{
@@ -49,7 +49,7 @@
     let outcome = loop {
         let now = Time::ZERO + Span::from(start.elapsed());
         event = match machine.on_event(now, event) {
-            Action::Read => Event::Read(context.store.get(&change.key).await),
+            Action::Read => Event::Read(read(context, &change.key).await),
             Action::Survey => Event::Around(survey(context, &change.key).await),
             Action::Write { expected, value } => {
                 Event::Written(write(context, &change.key, expected, value.as_ref()).await)
@@ -111,6 +111,20 @@
     )
 }
 
+/// Reads an object together with the version of the store, which `get` does not give.
+///
+/// # Errors
+///
+/// Fails with kind `store_unavailable` when the store does not answer.
+pub async fn read(context: &Context, key: &str) -> Result<Seen> {
+    let list = context.store.list(key).await?;
+    let mut objects = list.objects.into_iter();
+    Ok(Seen {
+        present: objects.find(|object| object.key.as_ref() == key),
+        store_version: list.version,
+    })
+}
+
 async fn write(
     context: &Context,
     key: &str,
--- a/crates/coordination/src/changes/mod.rs
+++ b/crates/coordination/src/changes/mod.rs
@@ -94,6 +94,15 @@
     Finish(Outcome),
 }
 
+/// What a read showed.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Seen {
+    /// The object, or `None` when it does not exist.
+    pub present: Option<Object>,
+    /// Version of the store at the time of the answer; it shows whether the answer is old.
+    pub store_version: ObjectVersion,
+}
+
 /// Answer of the store to a write.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Written {
@@ -113,7 +122,7 @@
     /// The change starts.
     Start,
     /// Answer to [`Action::Read`].
-    Read(Result<Option<Object>>),
+    Read(Result<Seen>),
     /// Answer to [`Action::Survey`].
     Around(Result<Surroundings>),
     /// Answer to [`Action::Write`].
@@ -203,8 +212,8 @@
                 self.phase = Phase::Reading;
                 Action::Read
             }
-            (Phase::Reading, Event::Read(Ok(present))) => self
-                .prepare(present.as_ref())
+            (Phase::Reading, Event::Read(Ok(seen))) => self
+                .prepare(seen.present.as_ref())
                 .unwrap_or_else(|error| finish(Outcome::NotDone(error))),
             (Phase::Reading, Event::Read(Err(error)))
             | (Phase::Surveying, Event::Around(Err(error))) => finish(Outcome::NotDone(error)),
@@ -319,15 +328,15 @@
         }
     }
 
-    fn on_read_back(&mut self, now: Time, until: Time, read: Result<Option<Object>>) -> Action {
-        let present = match read {
-            Ok(present) => present,
+    fn on_read_back(&mut self, now: Time, until: Time, read: Result<Seen>) -> Action {
+        let seen = match read {
+            Ok(seen) => seen,
             Err(error) if now >= until => return self.unknown(&error.message),
             Err(_) => return Action::Wait(self.options.pause),
         };
-        match self.judge(present.as_ref()) {
+        match self.judge(&seen) {
             Verdict::Done(version) => finish(Outcome::Done(version)),
-            Verdict::NotDone => self.report_conflict(present.as_ref()),
+            Verdict::NotDone => self.report_conflict(seen.present.as_ref()),
             Verdict::Unknowable => self.unknown(
                 "the object was deleted, or written more often than its record reaches back",
             ),
@@ -340,11 +349,11 @@
         }
     }
 
-    fn judge(&self, present: Option<&Object>) -> Verdict {
+    fn judge(&self, seen: &Seen) -> Verdict {
         if self.own.is_some() {
-            judge_write(present, self.base_version(), self.change.operation)
+            judge_write(seen, self.base_version(), self.change.operation)
         } else {
-            judge_deletion(present, self.base_version())
+            judge_deletion(seen, self.base_version())
         }
     }
 
--- a/crates/coordination/src/changes/verdict.rs
+++ b/crates/coordination/src/changes/verdict.rs
@@ -1,11 +1,10 @@
 //! Tells from the record of an object whether a write whose answer was lost took effect.
 
 use {
+    super::Seen,
     cardamomloom_core::{ObjectVersion, OperationId},
-    cardamomloom_protocol::{
-        object::history::{MAX_SUPERSEDED, operation_of, superseded_of},
-        store_api::Object,
-    },
+    cardamomloom_protocol::object::history::{MAX_SUPERSEDED, operation_of, superseded_of},
+    serde_json::Value,
 };
 
 /// What is known of a write on a version of an object.
@@ -23,12 +22,12 @@
 
 /// Judges the write of `operation` on version `base`; version 0 is the creation of the object.
 #[must_use]
-pub fn judge_write(
-    present: Option<&Object>,
-    base: ObjectVersion,
-    operation: OperationId,
-) -> Verdict {
-    let live = present.and_then(|object| Some((object.version, object.value.as_ref()?)));
+pub fn judge_write(seen: &Seen, base: ObjectVersion, operation: OperationId) -> Verdict {
+    // An answer from before `base` existed says nothing about a write on it.
+    if seen.store_version < base {
+        return Verdict::Pending;
+    }
+    let live = live(seen);
     let Some((version, value)) = live else {
         return if base == ObjectVersion(0) {
             Verdict::Pending
@@ -63,8 +62,12 @@
 /// A deletion leaves no record. `Done` therefore means that the object has been deleted since it
 /// had version `base`, by this writer or by one that raced with it.
 #[must_use]
-pub fn judge_deletion(present: Option<&Object>, base: ObjectVersion) -> Verdict {
-    let live = present.and_then(|object| Some((object.version, object.value.as_ref()?)));
+pub fn judge_deletion(seen: &Seen, base: ObjectVersion) -> Verdict {
+    // An answer from before `base` existed says nothing about a write on it.
+    if seen.store_version < base {
+        return Verdict::Pending;
+    }
+    let live = live(seen);
     let Some((version, value)) = live else {
         return Verdict::Done(None);
     };
@@ -85,3 +88,8 @@
     }
     Verdict::Unknowable
 }
+
+fn live(seen: &Seen) -> Option<(ObjectVersion, &Value)> {
+    let object = seen.present.as_ref()?;
+    Some((object.version, object.value.as_ref()?))
+}
--- a/crates/coordination/tests/racing_operators.rs
+++ b/crates/coordination/tests/racing_operators.rs
@@ -1,9 +1,10 @@
-//! Operators race on one entry while answers are lost and writes are delayed; an oracle checks
-//! the history of the store.
+//! Operators race on one entry while answers are lost, writes are delayed and reads are stale;
+//! an oracle checks the history of the store.
 
 use {
     cardamomloom_coordination::changes::{
-        Action, Change, ChangeMachine, ChangeOptions, Event, Intent, Outcome, Surroundings, Written,
+        Action, Change, ChangeMachine, ChangeOptions, Event, Intent, Outcome, Seen, Surroundings,
+        Written,
     },
     cardamomloom_core::{
         ObjectVersion, OperationId, Span, Time,
@@ -37,6 +38,8 @@
     /// The answer is lost and the write reaches the store later, or at the end.
     Delayed,
     Refused,
+    /// A read is answered with an earlier state of the store; a write is answered.
+    Stale(usize),
 }
 
 #[derive(Clone, Debug)]
@@ -70,6 +73,7 @@
             2 => Just(Fate::LostAfter),
             2 => Just(Fate::Delayed),
             1 => Just(Fate::Refused),
+            1 => (0..6_usize).prop_map(Fate::Stale),
         ];
         prop_oneof![
             2 => (0..OPERATORS, 0..6_u8, any::<u8>())
@@ -114,6 +118,8 @@
     now: Time,
     version: u64,
     present: Option<Object>,
+    /// State of the store after each write, the newest last.
+    past: Vec<Seen>,
     history: Vec<Accepted>,
     delayed: Vec<Request>,
     running: [Option<Running>; OPERATORS],
@@ -139,6 +145,7 @@
                 value: Some(value.clone()),
             });
         }
+        self.past.push(self.seen());
         self.history.push(Accepted {
             request: request.clone(),
             replaced,
@@ -146,6 +153,20 @@
         Written::Accepted(ObjectVersion(self.version))
     }
 
+    fn seen(&self) -> Seen {
+        Seen {
+            present: self.present.clone(),
+            store_version: ObjectVersion(self.version),
+        }
+    }
+
+    fn seen_earlier(&self, writes_ago: usize) -> Seen {
+        let index = self.past.len().checked_sub(writes_ago + 1);
+        index
+            .and_then(|index| self.past.get(index).cloned())
+            .unwrap_or_default()
+    }
+
     fn start(&mut self, operator: usize, intent: u8, text: u8) {
         if self.running[operator].is_some() {
             return;
@@ -185,7 +206,8 @@
         };
         let event = match running.action.clone() {
             Action::Read => Event::Read(match fate {
-                Fate::Answered | Fate::LostAfter | Fate::Delayed => Ok(self.present.clone()),
+                Fate::Answered | Fate::LostAfter | Fate::Delayed => Ok(self.seen()),
+                Fate::Stale(writes_ago) => Ok(self.seen_earlier(writes_ago)),
                 Fate::LostBefore | Fate::Refused => Err(unavailable()),
             }),
             Action::Survey => Event::Around(Ok(Surroundings::default())),
@@ -217,7 +239,7 @@
 
     fn write_with(&mut self, request: Request, fate: Fate) -> Written {
         match fate {
-            Fate::Answered => return self.write(&request),
+            Fate::Answered | Fate::Stale(_) => return self.write(&request),
             Fate::Refused => return Written::Refused(unavailable()),
             Fate::LostBefore => {}
             Fate::LostAfter => {
