cli: explain names hosts left out, and status works without the store

Cause: explain showed the candidates but not why other hosts of the service are none, and the use of status during an outage of the store was not tested.

Change: explain lists the known hosts of the service that are not candidates with the reason: failure domain out, starting or gone.

--- a/crates/cli/src/commands/explain.rs
+++ b/crates/cli/src/commands/explain.rs
@@ -7,7 +7,10 @@
         output::{Output, cell, table},
         processes::{self, Answered},
     },
-    cardamomloom_core::error::{Error, ErrorKind, Result},
+    cardamomloom_core::{
+        HostId,
+        error::{Error, ErrorKind, Result},
+    },
     serde_json::{Value, json},
 };
 
@@ -34,18 +37,49 @@
     let Some(first) = explained.first() else {
         return Err(common_error(&answers));
     };
+    let answered = answers.iter().find(|answered| answered.answer.is_ok());
+    let left_out = match answered {
+        Some(balancer) => left_out(context, balancer, first).await,
+        None => Vec::new(),
+    };
     let agree = explained
         .iter()
         .all(|other| other["candidates"] == first["candidates"]);
     Ok(Output {
-        text: text(&answers, first, agree),
+        text: text(&answers, first, &left_out, agree),
         json: json!({
             "agree": agree,
+            "left_out": left_out,
             "balancers": answers.iter().map(shown).collect::<Vec<_>>(),
         }),
     })
 }
 
+/// Returns the known hosts of the service that are in no candidate list, with the reason.
+async fn left_out(context: &Context, balancer: &Answered, explanation: &Value) -> Vec<Value> {
+    let status = context.inspect.get(balancer.address, "/status", &[]).await;
+    let Ok(status) = status else {
+        return Vec::new();
+    };
+    let out = status["domains_out"].as_array();
+    let reason = |host: &Value| match host["state"].as_str() {
+        _ if out.is_some_and(|out| out.contains(&host["domain"])) => {
+            Some("its failure domain is out".to_owned())
+        }
+        Some("Ready" | "Draining") | None => None,
+        Some(state) => Some(format!("its state is {}", state.to_lowercase())),
+    };
+    let hosts = status["hosts"].as_array().into_iter().flatten();
+    hosts
+        .filter(|host| host["service"] == explanation["service_id"])
+        .filter_map(|host| {
+            let id = u32::try_from(host["host"].as_u64()?).ok()?;
+            let (id, why) = (HostId(id).to_string(), reason(host)?);
+            Some(json!({"host": id, "domain": host["domain"], "why": why}))
+        })
+        .collect()
+}
+
 fn common_error(answers: &[Answered]) -> Error {
     let errors = answers
         .iter()
@@ -63,7 +97,22 @@
     }
 }
 
-fn text(answers: &[Answered], first: &Value, agree: bool) -> String {
+fn left_out_table(left_out: &[Value]) -> String {
+    if left_out.is_empty() {
+        return String::new();
+    }
+    let rows: Vec<Vec<String>> = left_out
+        .iter()
+        .map(|host| {
+            ["host", "domain", "why"]
+                .map(|field| cell(&host[field]))
+                .to_vec()
+        })
+        .collect();
+    table(&["NOT A CANDIDATE", "DOMAIN", "WHY"], &rows) + "\n"
+}
+
+fn text(answers: &[Answered], first: &Value, left_out: &[Value], agree: bool) -> String {
     let candidates = first["candidates"].as_array().into_iter().flatten();
     let candidates: Vec<Vec<String>> = candidates
         .enumerate()
@@ -94,7 +143,7 @@
         })
         .collect();
     format!(
-        "service {} (id {}), bucket {}\n{}\n\n{}\n{}\n{}",
+        "service {} (id {}), bucket {}\n{}\n\n{}\n{}{}\n{}",
         cell(&first["service"]),
         cell(&first["service_id"]),
         cell(&first["bucket"]),
@@ -110,6 +159,7 @@
             ],
             &candidates
         ),
+        left_out_table(left_out),
         table(
             &[
                 "BALANCER",
--- a/crates/cli/tests/command/views.rs
+++ b/crates/cli/tests/command/views.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::common::{Endpoint, Result, World, domain, service},
+    cardamomloom_standins::store::Faults,
     serde_json::{Value, json},
     std::{fs, path::PathBuf, sync::Arc},
 };
@@ -86,6 +87,25 @@
     Ok(())
 }
 
+/// Guards against operators who see nothing while the store is down.
+#[test]
+fn verify_status_without_the_store() -> Result<()> {
+    let world = World::start()?;
+    let node = Arc::new(Endpoint::default());
+    node.set_status(status(1));
+    let address = world.serve(node)?.to_string();
+    world.store.set_faults(Faults {
+        down: true,
+        ..Faults::default()
+    });
+    world.expect(6, &["status"])?;
+    let shown = world.expect(0, &["status", "--json", "--nodes", &address])?;
+    let shown: Value = serde_json::from_str(&shown)?;
+    assert_eq!(shown["degraded"][0]["alert"], "store_unavailable");
+    assert_eq!(shown["balancers"][0]["state"], "running");
+    Ok(())
+}
+
 /// Guards against options that are not available everywhere.
 #[test]
 fn verify_help_version_and_json_errors() -> Result<()> {
--- a/crates/cli/tests/installation.rs
+++ b/crates/cli/tests/installation.rs
@@ -77,6 +77,13 @@
     for list in candidates(installation)? {
         assert!(!uses_domain(&list, "norte-a"), "{list}");
     }
+    let explained = run(installation, 0, &["explain", FLOW[0], FLOW[1]])?;
+    let left_out = explained["left_out"].as_array().ok_or("no list")?;
+    assert!(!left_out.is_empty(), "{explained}");
+    for host in left_out {
+        assert_eq!(host["domain"], "norte-a", "{explained}");
+        assert_eq!(host["why"], "its failure domain is out", "{explained}");
+    }
     let out = degraded(installation)?;
     assert!(out.contains("failure domain norte-a is out"), "{out}");
     run(installation, 0, &["domain", "in", "norte-a", "--wait"])?;
