--- a/crates/cli/tests/command/views.rs
+++ b/crates/cli/tests/command/views.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::common::{Endpoint, Result, World, domain, service},
+    cardamomloom_standins::store::Faults,
     serde_json::{Value, json},
     std::{fs, path::PathBuf, sync::Arc},
 };
@@ -80,11 +81,31 @@
         assert!(shown.contains(part), "{part}: {shown}");
     }
     let json: Value = serde_json::from_str(&world.expect(0, &["status", "--json"])?)?;
+    assert_eq!(json["degraded"][0]["alert"], "object_invalid");
     assert_eq!(json["balancers"][0]["lags"][0]["stored"], 1);
     assert_eq!(json["balancers"][1]["state"], "no answer");
     Ok(())
 }
 
+/// Guards against operators who see nothing while the store is down.
+#[test]
+fn verify_status_without_the_store() -> Result<()> {
+    let world = World::start()?;
+    let node = Arc::new(Endpoint::default());
+    node.set_status(status(1));
+    let address = world.serve(node)?.to_string();
+    world.store.set_faults(Faults {
+        down: true,
+        ..Faults::default()
+    });
+    world.expect(6, &["status"])?;
+    let shown = world.expect(0, &["status", "--json", "--nodes", &address])?;
+    let shown: Value = serde_json::from_str(&shown)?;
+    assert_eq!(shown["degraded"][0]["alert"], "store_unavailable");
+    assert_eq!(shown["balancers"][0]["state"], "running");
+    Ok(())
+}
+
 /// Guards against options that are not available everywhere.
 #[test]
 fn verify_help_version_and_json_errors() -> Result<()> {
