bench: status experiment

The control thread of a balancer renders its whole status every 100 ms, whether or not something changed. Nothing measured what that costs.

--- a/crates/bench/src/experiment/mod.rs
+++ b/crates/bench/src/experiment/mod.rs
@@ -5,6 +5,7 @@
 mod forward;
 mod lookup;
 mod memory;
+mod status;
 mod table;
 
 use {crate::report::Report, cardamomloom_core::error::Error, std::path::PathBuf};
@@ -46,6 +47,7 @@
         Box::new(agent::AgentFlows),
         Box::new(forward::Forward),
         Box::new(lookup::Lookup),
+        Box::new(status::Status),
         Box::new(table::Table),
     ]
 }
