--- a/crates/bench/src/experiment/mod.rs
+++ b/crates/bench/src/experiment/mod.rs
@@ -6,6 +6,7 @@
 mod forward;
 mod lookup;
 mod memory;
+mod status;
 mod table;
 
 use {crate::report::Report, cardamomloom_core::error::Error, std::path::PathBuf};
@@ -48,6 +49,7 @@
         Box::new(forward::Forward),
         Box::new(churn::Churn),
         Box::new(lookup::Lookup),
+        Box::new(status::Status),
         Box::new(table::Table),
     ]
 }
