--- a/crates/bench/src/experiment/mod.rs
+++ b/crates/bench/src/experiment/mod.rs
@@ -1,6 +1,7 @@
 //! What an experiment is, and the registry of all experiments.
 
 mod agent;
+mod churn;
 mod fixture;
 mod forward;
 mod lookup;
@@ -45,6 +46,7 @@
     vec![
         Box::new(agent::AgentFlows),
         Box::new(forward::Forward),
+        Box::new(churn::Churn),
         Box::new(lookup::Lookup),
         Box::new(table::Table),
     ]
--- a/crates/standins/src/model/mod.rs
+++ b/crates/standins/src/model/mod.rs
@@ -12,7 +12,7 @@
         ownership::{FlowId, Ownership, OwnershipOptions},
     },
     cardamomloom_core::{HostId, Incarnation, ServiceId, Span, Time, Weight},
-    cardamomloom_protocol::control::Message,
+    cardamomloom_protocol::control::{self, Message, Origin},
     cardamomloom_state::candidates::CandidateTable,
     rand::{RngExt, SeedableRng},
     rand_chacha::ChaCha8Rng,
@@ -109,6 +109,8 @@
     pub opened: usize,
     /// Resets that callers received.
     pub resets: usize,
+    /// Bytes of all control messages that agents sent, with IP and UDP headers.
+    pub control_bytes: u64,
     /// Hosts whose control messages are lost.
     pub cut: BTreeSet<usize>,
     /// Kept apart from `rng`, so that the same callers can be run with and without handover.
@@ -134,6 +136,7 @@
             key: 0,
             opened: 0,
             resets: 0,
+            control_bytes: 0,
             cut: BTreeSet::new(),
             network_rng: ChaCha8Rng::seed_from_u64(!seed),
             messages: BTreeMap::new(),
@@ -165,11 +168,20 @@
 
     /// Starts the agent of a host, which knows the newest hosts.
     pub fn join(&mut self, index: usize) {
-        let next = self.hosts[index].incarnation.0 + 1;
-        self.hosts[index] = new_host(index, next);
-        self.hosts[index].state = HostState::Ready;
+        self.join_at_once(&[index]);
+    }
+
+    /// Starts agents as one change, as when a failure domain returns.
+    pub fn join_at_once(&mut self, indexes: &[usize]) {
+        for index in indexes {
+            let next = self.hosts[*index].incarnation.0 + 1;
+            self.hosts[*index] = new_host(*index, next);
+            self.hosts[*index].state = HostState::Ready;
+        }
         self.publish();
-        self.update_host(index, self.versions.len() - 1);
+        for index in indexes {
+            self.update_host(*index, self.versions.len() - 1);
+        }
     }
 
     /// Lets a host take no more flows.
@@ -272,6 +284,12 @@
         if !self.handover || is_cut {
             return;
         }
+        let origin = Origin {
+            sender: from as u64,
+            incarnation: self.hosts[from].incarnation,
+            sequence: self.next_message,
+        };
+        self.control_bytes += control::wire_bytes(&origin, message);
         for _ in 0..=usize::from(self.network_rng.random_ratio(1, 20)) {
             if self.network_rng.random_ratio(self.loss_percent, 100) {
                 continue;
