--- a/crates/coordination/tests/flows/scenarios.rs
+++ b/crates/coordination/tests/flows/scenarios.rs
@@ -87,6 +87,11 @@
                 world.restart_caller(flow, number(balancer));
             }
         }
+        ["abort", "via", balancer] => {
+            for flow in 0..world.flows.len() {
+                world.abort(flow, number(balancer));
+            }
+        }
         ["reuse", count, "via", balancer] => {
             for flow in 0..number(count) {
                 world.reuse(flow, number(balancer));
--- a/crates/standins/src/model/callers.rs
+++ b/crates/standins/src/model/callers.rs
@@ -148,6 +148,16 @@
         self.send(flow, balancer, late);
     }
 
+    /// The caller ends a flow with a reset without acknowledgement, before it sent anything else.
+    pub fn abort(&mut self, flow: usize, balancer: usize) {
+        let mut meta = self.meta(flow, false, 0);
+        meta.acknowledgement = None;
+        meta.rst = true;
+        meta.payload_bytes = 0;
+        self.flows[flow].state = FlowState::Ended;
+        self.send(flow, balancer, meta);
+    }
+
     /// The caller of an unanswered flow gives up and opens it anew from the same port.
     pub fn restart_caller(&mut self, flow: usize, balancer: usize) {
         if self.flows[flow].state == FlowState::Opening {
@@ -207,6 +217,10 @@
             }
             match decision {
                 Decision::Deliver(id) => self.receive(flow, index, id, &meta, &header, &mut trace),
+                Decision::DeliverAndForward(id, hop) => {
+                    self.receive(flow, index, id, &meta, &header, &mut trace);
+                    under_way.push((host_of_address(hop.to), hop.header));
+                }
                 Decision::Forward(hop) => under_way.push((host_of_address(hop.to), hop.header)),
                 Decision::ForwardBoth(first, second) => {
                     for hop in [second, first] {
@@ -311,6 +325,10 @@
         if meta.opens_flow() {
             return self.answer_caller(flow, host, id);
         }
+        if meta.rst {
+            self.hosts[host].ownership.remove(id);
+            return;
+        }
         let expected = self.hosts[host].tcp.get(&id).copied();
         let is_valid = expected.is_some_and(|(caller_isn, local_isn)| {
             meta.sequence == caller_isn.wrapping_add(1)
