daemon: show the handover of an agent

Cause: nothing showed whether real agents exchange handover messages.

An end-to-end test lets three hosts join and one drain under load and waits for the handover.

With the agent ignoring handover messages the test fails: "no handover", authoritative false, no directory entries.

--- a/crates/coordination/src/agent/mod.rs
+++ b/crates/coordination/src/agent/mod.rs
@@ -133,6 +133,12 @@
         }
     }
 
+    /// Returns the ownership table.
+    #[must_use]
+    pub const fn ownership(&self) -> &Ownership {
+        &self.ownership
+    }
+
     /// Returns the ownership table for configuration changes.
     pub const fn ownership_mut(&mut self) -> &mut Ownership {
         &mut self.ownership
--- a/crates/coordination/src/handover/mod.rs
+++ b/crates/coordination/src/handover/mod.rs
@@ -85,6 +85,17 @@
     }
 }
 
+/// How far the handover of an agent has come.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct HandoverStatus {
+    /// Flows of other agents in the directory.
+    pub directory_entries: usize,
+    /// Whether every live agent has confirmed its flows for the present table.
+    pub is_authoritative: bool,
+    /// Whether every other agent has confirmed the own flows.
+    pub is_confirmed: bool,
+}
+
 /// What to do with a packet whose flow is neither here nor in the directory.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Unknown {
@@ -178,22 +189,14 @@
         self.directory.owners_of(now, flow)
     }
 
-    /// Tells whether every live agent has confirmed its flows for the present table.
-    #[must_use]
-    pub const fn is_authoritative(&self) -> bool {
-        self.authoritative
-    }
-
-    /// Returns the number of directory entries.
+    /// Returns how far the handover has come.
     #[must_use]
-    pub fn entry_count(&self) -> usize {
-        self.directory.len()
-    }
-
-    /// Tells whether every part of the own lists was confirmed.
-    #[must_use]
-    pub fn is_confirmed(&self) -> bool {
-        self.outboxes.is_confirmed()
+    pub fn status(&self) -> HandoverStatus {
+        HandoverStatus {
+            directory_entries: self.directory.len(),
+            is_authoritative: self.authoritative,
+            is_confirmed: self.outboxes.is_confirmed(),
+        }
     }
 
     /// Decides about a packet of an unknown flow.
--- a/crates/daemon/src/agent/control.rs
+++ b/crates/daemon/src/agent/control.rs
@@ -9,7 +9,7 @@
     },
     cardamomloom_coordination::{
         admission::{AdmissionStatus, Limits, LoadExchange, LoadExchangeOptions},
-        handover::{Members, Peer},
+        handover::{HandoverStatus, Members, Peer},
         membership::{AgentMembership, AgentMembershipOptions},
     },
     cardamomloom_core::{
@@ -95,6 +95,7 @@
     table: TableVersion,
     open_flows: usize,
     admission: AdmissionStatus,
+    handover: HandoverStatus,
     stopping: Stopping,
 }
 
@@ -119,6 +120,7 @@
             table: TableVersion::default(),
             open_flows: 0,
             admission: AdmissionStatus::default(),
+            handover: HandoverStatus::default(),
             stopping: Stopping::No,
         })
     }
@@ -147,9 +149,14 @@
                 }
                 self.update_table(false);
             }
-            Event::Flows { open, admission } => {
+            Event::Flows {
+                open,
+                admission,
+                handover,
+            } => {
                 self.open_flows = open;
                 self.admission = admission;
+                self.handover = handover;
             }
             Event::ServerReport(report) => {
                 self.options.commands.send(Command::ServerReport(report));
@@ -385,6 +392,11 @@
             "open_flows": self.open_flows,
             "admission": self.admission,
             "standing": self.gate.standing(),
+            "handover": {
+                "directory_entries": self.handover.directory_entries,
+                "authoritative": self.handover.is_authoritative,
+                "confirmed": self.handover.is_confirmed,
+            },
             "domain_out": self.domain_out,
             "objects": self
                 .catalogue
--- a/crates/daemon/src/agent/mod.rs
+++ b/crates/daemon/src/agent/mod.rs
@@ -1,6 +1,7 @@
 //! The agent role.
 
 mod control;
+mod metrics;
 mod packet_loop;
 
 use {
--- a/crates/daemon/src/agent/packet_loop.rs
+++ b/crates/daemon/src/agent/packet_loop.rs
@@ -1,6 +1,7 @@
 //! Packet loop of an agent: packets of callers and connections to the backend server.
 
 use {
+    super::metrics::AgentMetrics,
     crate::{
         balancer::DropCounters,
         burn::{AgentTotals, Totals},
@@ -9,7 +10,7 @@
     },
     cardamomloom_coordination::{
         admission::{AdmissionPolicy, Limits, MeanLoad, ServerReport, TrustOptions},
-        agent::{Agent, AgentCounters, AgentIo},
+        agent::{Agent, AgentIo},
         handover::Members,
         ownership::{FlowId, Hop, Ownership, OwnershipOptions},
         termination::TerminationOptions,
@@ -31,7 +32,6 @@
         udp::{BATCH, ReceiveBatch, Wait},
     },
     log::{info, warn},
-    metrics::{Counter, Gauge},
     mio::{Events, Interest, Poll, Token, Waker, unix::SourceFd},
     std::{
         collections::BTreeSet,
@@ -168,34 +168,9 @@
     /// only once.
     deferred: BTreeSet<u64>,
     next_report: Time,
-    published: AgentCounters,
     metrics: AgentMetrics,
 }
 
-struct AgentMetrics {
-    open_flows: Gauge,
-    trusted: Gauge,
-    opened: Counter,
-    redirected: Counter,
-    forwarded: Counter,
-    refused: Counter,
-    connect_failures: Counter,
-}
-
-impl Default for AgentMetrics {
-    fn default() -> Self {
-        Self {
-            open_flows: metrics::gauge!("cardamomloom_open_flows"),
-            trusted: metrics::gauge!("cardamomloom_trusted_connections"),
-            opened: metrics::counter!("cardamomloom_opened_flows_total"),
-            redirected: metrics::counter!("cardamomloom_redirected_flows_total"),
-            forwarded: metrics::counter!("cardamomloom_forwarded_packets_total"),
-            refused: metrics::counter!("cardamomloom_refused_flows_total"),
-            connect_failures: metrics::counter!("cardamomloom_connect_failures_total"),
-        }
-    }
-}
-
 impl PacketLoop {
     fn new(
         socket: UdpSocket,
@@ -223,7 +198,6 @@
             forward_until: Time::ZERO,
             deferred: BTreeSet::new(),
             next_report: Time::ZERO,
-            published: AgentCounters::default(),
             metrics: AgentMetrics::default(),
         }
     }
@@ -395,32 +369,20 @@
         let Some(agent) = self.agent.as_ref() else {
             return;
         };
-        let (counters, last) = (agent.counters(), self.published);
-        self.metrics.open_flows.set(agent.flow_count() as f64);
-        self.metrics.opened.increment(counters.opened - last.opened);
-        self.metrics
-            .redirected
-            .increment(counters.redirected - last.redirected);
-        self.metrics
-            .forwarded
-            .increment(counters.forwarded - last.forwarded);
-        self.metrics
-            .refused
-            .increment(counters.refused - last.refused);
-        self.metrics
-            .connect_failures
-            .increment(counters.connect_failures - last.connect_failures);
+        let counters = agent.counters();
         self.options.burn.set(Totals {
             good: counters.opened,
             bad: counters.refused_opening,
         });
-        self.published = counters;
         let (open, admission) = (agent.flow_count(), agent.admission().status());
-        self.metrics
-            .trusted
-            .set(f64::from(admission.trusted_connections));
+        let handover = agent.ownership().handover().status();
+        self.metrics.publish(agent, &admission, &handover);
         // A full queue only delays the next report.
-        let _ = self.events.try_send(Event::Flows { open, admission });
+        let _ = self.events.try_send(Event::Flows {
+            open,
+            admission,
+            handover,
+        });
     }
 }
 
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -1,7 +1,10 @@
 //! The control thread: runs `stakker` actors on events from sockets and the store.
 
 use {
-    cardamomloom_coordination::admission::{AdmissionStatus, ServerReport},
+    cardamomloom_coordination::{
+        admission::{AdmissionStatus, ServerReport},
+        handover::HandoverStatus,
+    },
     cardamomloom_core::{
         Incarnation, Time,
         error::{Error, io},
@@ -57,6 +60,8 @@
         open: usize,
         /// State of the admission.
         admission: AdmissionStatus,
+        /// Progress of the handover.
+        handover: HandoverStatus,
     },
     /// All objects that were current at a time were sent as events before this one.
     Confirmed {
--- a/crates/standins/tests/end_to_end.rs
+++ b/crates/standins/tests/end_to_end.rs
@@ -11,11 +11,11 @@
     nix::sys::signal::Signal,
     std::{
         env, fs,
-        io::Result,
+        io::{Error, Result},
         net::{TcpStream, UdpSocket},
         sync::{Mutex, MutexGuard, PoisonError},
         thread,
-        time::Duration,
+        time::{Duration, Instant},
     },
 };
 
@@ -164,3 +164,48 @@
     });
     assert!(outcome.is_clean(), "{outcome:?}");
 }
+
+/// Guards against agents that never tell a new first candidate about their flows: hosts join and
+/// drain under load, and every agent must confirm the handover to every other one.
+#[test]
+fn verify_joining_hosts_learn_the_flows_of_others() {
+    let load = Load {
+        requests_per_flow: 24,
+        ..Load::default()
+    };
+    let mut entries = 0;
+    let outcome = run("join-hosts", &load, |installation| {
+        let hosts = installation.services()[0].hosts;
+        for domain in ["tas-hobart", "tas-launceston", "tas-devonport"] {
+            installation.add_host(0, domain)?;
+        }
+        installation.restart_balancer(0)?;
+        for host in hosts..hosts + 3 {
+            entries += wait_for_handover(installation, host)?;
+        }
+        installation.agent(0, 1)?.signal(Signal::SIGTERM)
+    });
+    assert!(entries > 0, "no flow was handed over");
+    assert!(outcome.is_clean(), "{outcome:?}");
+}
+
+/// Waits until an agent knows the flows of all others and returns how many.
+fn wait_for_handover(installation: &Installation, host: usize) -> Result<u64> {
+    let deadline = Instant::now() + Duration::from_secs(15);
+    loop {
+        let status = installation.agent_status(0, host);
+        if let Ok(status) = &status
+            && status["handover"]["authoritative"] == true
+            && status["handover"]["confirmed"] == true
+        {
+            let entries = &status["handover"]["directory_entries"];
+            return Ok(entries.as_u64().unwrap_or_default());
+        }
+        if Instant::now() > deadline {
+            return Err(Error::other(format!(
+                "host {host}: no handover: {status:?}"
+            )));
+        }
+        thread::sleep(Duration::from_millis(50));
+    }
+}
