coordination: tests for used 5-tuples with a TCP stack

Cause: the replacement of flows by a new opening packet was tested on decisions only, not with connections and admission.

Change: three tests let a caller open its 5-tuple anew while the earlier flow connects, is half-open, or is in TIME-WAIT.

Result: one flow and one admitted connection remain, and the exchange takes less than 1 s. When the earlier flow is not ended 2 flows remain; when the new opening packet is ignored while connecting, 2 flows are opened; when an ended flow keeps its 5-tuple the third test fails.

--- a/crates/coordination/tests/agent_tcp.rs
+++ b/crates/coordination/tests/agent_tcp.rs
@@ -86,11 +86,12 @@
 }
 
 impl Caller {
-    fn connect(from: SocketAddr, to: SocketAddr) -> Self {
+    /// `seed` decides the initial sequence number.
+    fn connect(from: SocketAddr, to: SocketAddr, seed: u64) -> Self {
         let mut discard = |_: &[u8]| {};
         let mut device = PacketDevice::new(None, &mut discard, MTU_BYTES);
         let mut config = Config::new(HardwareAddress::Ip);
-        config.random_seed = 7;
+        config.random_seed = seed;
         let mut interface = Interface::new(config, &mut device, Instant::ZERO);
         let address = IpAddress::from(from.ip());
         let prefix_bits = if from.is_ipv4() { 32 } else { 128 };
@@ -162,7 +163,7 @@
         Self {
             agent,
             io: Echo::default(),
-            caller: Caller::connect(caller, service),
+            caller: Caller::connect(caller, service, 7),
             now: Time::ZERO,
             lose_every,
             packets: 0,
@@ -193,6 +194,16 @@
         }
     }
 
+    /// Replaces the caller by one that opens the same 5-tuple anew.
+    fn restart_caller(&mut self) {
+        self.io.to_caller.clear();
+        let (caller, service) = (
+            "198.51.100.1:40000".parse().expect("valid address"),
+            "203.0.113.1:80".parse().expect("valid address"),
+        );
+        self.caller = Caller::connect(caller, service, 8);
+    }
+
     /// Sends `bytes` and returns what came back.
     fn exchange(&mut self, bytes: &[u8]) -> Vec<u8> {
         let mut received = Vec::new();
@@ -309,3 +320,49 @@
     net.run(Span::from_secs(600));
     assert_eq!(net.exchange(b"y"), b"y");
 }
+
+/// Guards against an opening packet of a used 5-tuple that leaves the earlier half-open flow and
+/// its connection to the server behind.
+#[test]
+fn verify_new_opening_replaces_a_half_open_flow() {
+    let mut net = Net::new("198.51.100.1:40000", "203.0.113.1:80", 0);
+    net.run(Span::from_millis(5));
+    assert_eq!(net.agent.counters().opened, 1);
+    net.restart_caller();
+    assert_eq!(net.exchange(b"x"), b"x");
+    assert_eq!(net.agent.flow_count(), 1);
+    assert_eq!(net.agent.admission_mut().open_connections(), 1);
+}
+
+/// Guards against an answer to an opening packet that its caller has given up.
+#[test]
+fn verify_new_opening_replaces_one_that_is_connecting() {
+    let mut net = Net::new("198.51.100.1:40000", "203.0.113.1:80", 0);
+    for packet in net.caller.poll(net.now, None) {
+        net.agent
+            .on_packet(net.now, &header(), &packet, &mut net.io);
+    }
+    net.restart_caller();
+    assert_eq!(net.exchange(b"x"), b"x");
+    assert_eq!(net.agent.counters().opened, 1);
+}
+
+/// Guards against a flow in TIME-WAIT that keeps its 5-tuple from being used again.
+#[test]
+fn verify_new_opening_replaces_a_flow_that_has_ended() {
+    let mut net = Net::new("198.51.100.1:40000", "203.0.113.1:80", 0);
+    assert_eq!(net.exchange(b"x"), b"x");
+    net.io.caller_ended = true;
+    net.agent.on_server_ready(net.now, FlowId(1), &mut net.io);
+    net.run(Span::from_millis(100));
+    net.caller.socket().close();
+    net.run(Span::from_millis(100));
+    assert_eq!(net.agent.flow_count(), 1);
+    net.io.caller_ended = false;
+    net.restart_caller();
+    let before = net.now;
+    assert_eq!(net.exchange(b"y"), b"y");
+    assert!(net.now.since(before) < Span::from_secs(1));
+    assert_eq!(net.agent.flow_count(), 1);
+    assert_eq!(net.agent.admission_mut().open_connections(), 1);
+}
