coordination: bound the rate of query rounds, check part sizes

Cause: a stream of unknown packets started a round of queries to every agent each 500 ms. No test encoded a full part of a handover.

Change: rounds start at most every 5 s; only unanswered queries repeat after 500 ms. A test encodes lists of IPv6 flows with the largest ids.

--- a/crates/coordination/src/handover/mod.rs
+++ b/crates/coordination/src/handover/mod.rs
@@ -59,8 +59,11 @@
     /// Time for which a flow stays unknown here before its packets are answered with a reset.
     /// It exceeds the 3 s within which a change of a host reaches every balancer and agent.
     pub settle_span: Span,
-    /// Least time between two queries to the same agent.
+    /// Time after which an unanswered query is repeated.
     pub query_interval: Span,
+    /// Least time between the starts of two rounds, so that unknown packets at any rate cause few
+    /// queries.
+    pub round_interval: Span,
     /// Time for which an unknown flow is remembered. It exceeds the settling time by several
     /// retransmissions of a caller.
     pub sighting_span: Span,
@@ -79,6 +82,7 @@
             max_entries: 200_000,
             settle_span: Span::from_secs(10),
             query_interval: Span::from_millis(500),
+            round_interval: Span::from_secs(5),
             sighting_span: Span::from_secs(60),
             max_sightings: 4_096,
         }
--- a/crates/coordination/src/handover/verification.rs
+++ b/crates/coordination/src/handover/verification.rs
@@ -89,13 +89,16 @@
             return None;
         }
         if let Some(round) = self.round.as_mut() {
-            if now.since(round.asked) < self.options.query_interval {
-                return None;
-            }
             if !round.missing.is_empty() {
+                if now.since(round.asked) < self.options.query_interval {
+                    return None;
+                }
                 round.asked = now;
                 return Some((self.number, round.missing.iter().copied().collect()));
             }
+            if now.since(round.started) < self.options.round_interval {
+                return None;
+            }
         }
         self.forget_old(now);
         if !self.has_settled(now) {
--- a/crates/coordination/tests/flows/main.rs
+++ b/crates/coordination/tests/flows/main.rs
@@ -1,4 +1,5 @@
 //! Flow ownership and handover under overlapping changes.
 
+mod messages;
 mod scenarios;
 mod sequences;
