coordination: keep flows of an agent that vanished for a minute

Cause: an agent that is paused or cut off counts as gone within seconds. The next first candidate then reset its flows 10 s later, although the agent and its server still ran.

Change: no flow is reset for 60 s after an agent left the table without draining, unless the agent is back in the table. Its packets are still dropped at once.

--- a/crates/coordination/src/handover/mod.rs
+++ b/crates/coordination/src/handover/mod.rs
@@ -64,6 +64,9 @@
     /// Least time between the starts of two rounds, so that unknown packets at any rate cause few
     /// queries.
     pub round_interval: Span,
+    /// Time for which no flow is reset after an agent vanished without draining: it may be paused
+    /// or cut off and still hold its flows. A restart of the agent ends the wait.
+    pub vanished_span: Span,
     /// Time for which an unknown flow is remembered. It exceeds the settling time by several
     /// retransmissions of a caller.
     pub sighting_span: Span,
@@ -83,7 +86,8 @@
             settle_span: Span::from_secs(10),
             query_interval: Span::from_millis(500),
             round_interval: Span::from_secs(5),
-            sighting_span: Span::from_secs(60),
+            vanished_span: Span::from_secs(60),
+            sighting_span: Span::from_secs(120),
             max_sightings: 4_096,
         }
     }
@@ -122,7 +126,10 @@
     outboxes: Outboxes,
     directory: Directory,
     verification: Verification,
+    /// Agents that left the table without draining, and when.
+    vanished: BTreeMap<HostId, Time>,
     authoritative: bool,
+    options: HandoverOptions,
 }
 
 impl Handover {
@@ -138,7 +145,9 @@
             outboxes: Outboxes::new(options),
             directory: Directory::new(options),
             verification: Verification::new(options),
+            vanished: BTreeMap::new(),
             authoritative: false,
+            options,
         }
     }
 
@@ -166,6 +175,7 @@
         if !same_table {
             self.verification.restart();
         }
+        self.note_vanished(now, table);
         self.table = Some(table.clone());
         self.incarnation = members.incarnation;
         self.peers = peers;
@@ -173,6 +183,19 @@
         self.update_authority();
     }
 
+    fn note_vanished(&mut self, now: Time, next: &CandidateTable) {
+        if let Some(table) = &self.table {
+            for candidate in table.hosts() {
+                if candidate.accepts_new && next.host(candidate.host).is_none() {
+                    self.vanished.insert(candidate.host, now);
+                }
+            }
+        }
+        let span = self.options.vanished_span;
+        self.vanished
+            .retain(|host, since| next.host(*host).is_none() && now.since(*since) < span);
+    }
+
     /// Learns that the own agent is about to answer the opening packet of a flow.
     pub fn on_opened(&mut self, flow: FlowKey) {
         if let Some(table) = &self.table
@@ -215,7 +238,11 @@
         if !is_first || !self.authoritative || header.table != table.version() {
             return Unknown::Walk;
         }
-        if self.verification.on_unknown(now, meta) {
+        let may_return = self
+            .vanished
+            .values()
+            .any(|since| now.since(*since) < self.options.vanished_span);
+        if self.verification.on_unknown(now, meta) && !may_return {
             Unknown::Reset
         } else {
             Unknown::Drop
--- a/crates/coordination/tests/flows/scenarios.rs
+++ b/crates/coordination/tests/flows/scenarios.rs
@@ -47,6 +47,8 @@
             let hosts: Vec<usize> = hosts.iter().map(|host| number(host)).collect();
             world.join_at_once(&hosts);
         }
+        ["pause", host] => world.pause(number(host)),
+        ["resume", host] => world.resume(number(host)),
         ["drain", host] => world.drain(number(host)),
         ["remove", hosts @ ..] => {
             let hosts: Vec<usize> = hosts.iter().map(|host| number(host)).collect();
--- a/crates/standins/src/model/mod.rs
+++ b/crates/standins/src/model/mod.rs
@@ -184,6 +184,19 @@
         }
     }
 
+    /// Stops an agent without ending it, as by SIGSTOP; the others see it vanish.
+    pub fn pause(&mut self, index: usize) {
+        self.hosts[index].state = HostState::Absent;
+        self.publish();
+    }
+
+    /// Lets a paused agent go on with its flows.
+    pub fn resume(&mut self, index: usize) {
+        self.hosts[index].state = HostState::Ready;
+        self.publish();
+        self.update_host(index, self.versions.len() - 1);
+    }
+
     /// Lets a host take no more flows.
     pub fn drain(&mut self, index: usize) {
         self.hosts[index].state = HostState::Draining;
