--- a/crates/bench/src/experiment/mod.rs
+++ b/crates/bench/src/experiment/mod.rs
@@ -1,7 +1,9 @@
 //! What an experiment is, and the registry of all experiments.
 
 mod agent;
+mod balance;
 mod churn;
+mod domain;
 mod fixture;
 mod forward;
 mod lookup;
@@ -51,5 +53,7 @@
         Box::new(lookup::Lookup),
         Box::new(status::Status),
         Box::new(table::Table),
+        Box::new(domain::Domain),
+        Box::new(balance::Balance),
     ]
 }
