coordination: count resets in proportion to open connections

Three resets within a second made a server cold, whatever its size. A server with 1,400 connections shows as many in normal service, for example when its idle timeout meets a request.

A server now counts as cold after resets of 1 % of its open connections within 1 s, and at least three. A reset after the server ended its stream does not count.

verify_resets_count_in_proportion_to_open_connections fails with the fixed threshold.

--- a/crates/coordination/src/admission/policy.rs
+++ b/crates/coordination/src/admission/policy.rs
@@ -131,7 +131,7 @@
     }
 
     fn observe_reset(&mut self, now: Time) {
-        let collapse = self.trust.on_reset(now);
+        let collapse = self.trust.on_reset(now, self.ledger.total());
         self.on_collapse(collapse);
     }
 
--- a/crates/coordination/src/admission/trust.rs
+++ b/crates/coordination/src/admission/trust.rs
@@ -17,8 +17,11 @@
     pub probation_span: Span,
     /// Window in which resets are counted.
     pub reset_window: Span,
-    /// Resets within the window that make the server cold; fewer occur in normal service.
+    /// Least resets within the window that make the server cold.
     pub reset_threshold: u32,
+    /// Part of the open connections whose reset within the window makes the server cold, when it
+    /// is more; fewer resets occur in normal service. 100 stands for 1/100.
+    pub reset_divisor: u32,
     /// Least accept latency that can count as a jump, above the noise of a busy machine.
     pub latency_floor: Span,
     /// Factor over the usual accept latency that counts as a jump.
@@ -37,6 +40,7 @@
             probation_span: Span::from_millis(200),
             reset_window: Span::from_secs(1),
             reset_threshold: 3,
+            reset_divisor: 100,
             latency_floor: Span::from_millis(50),
             latency_factor: 8,
             late_accepts: 3,
@@ -169,8 +173,8 @@
         })
     }
 
-    /// Learns of a connection that the server reset.
-    pub fn on_reset(&mut self, now: Time) -> Option<Collapse> {
+    /// Learns of a connection that the server reset while `open` connections are open.
+    pub fn on_reset(&mut self, now: Time, open: u32) -> Option<Collapse> {
         let window = self.options.reset_window;
         self.resets.push_back(now);
         while self
@@ -180,7 +184,8 @@
         {
             self.resets.pop_front();
         }
-        let reached = self.resets.len() >= self.options.reset_threshold as usize;
+        let part = open / self.options.reset_divisor.max(1);
+        let reached = self.resets.len() >= part.max(self.options.reset_threshold) as usize;
         reached.then(|| self.collapse(now))
     }
 
--- a/crates/coordination/src/agent/mod.rs
+++ b/crates/coordination/src/agent/mod.rs
@@ -431,7 +431,9 @@
         let state = tcp.socket().state();
         match (outcome, state) {
             (splice::Outcome::ServerFailed, _) => {
-                self.admission.observe_reset(now);
+                if !flow.server.server_ended() {
+                    self.admission.observe_reset(now);
+                }
                 tcp.socket_mut().abort();
                 tcp.poll(now, &mut |answer| io.send_to_caller(answer));
                 self.finish(id, true, io);
--- a/crates/coordination/src/agent/splice.rs
+++ b/crates/coordination/src/agent/splice.rs
@@ -34,6 +34,11 @@
         self.write_ended && self.read_ended
     }
 
+    /// Tells whether the backend server ended its stream, after which a reset is no failure.
+    pub const fn server_ended(self) -> bool {
+        self.read_ended
+    }
+
     /// Moves what can be moved now in both directions.
     pub fn splice(
         &mut self,
--- a/crates/coordination/tests/admission_properties.rs
+++ b/crates/coordination/tests/admission_properties.rs
@@ -257,3 +257,28 @@
     }
     assert_eq!(policy.status().trusted_connections, before);
 }
+
+/// Guards against a server with many connections that counts as cold for the few resets of normal
+/// service, and against one that resets many and does not.
+#[test]
+fn verify_resets_count_in_proportion_to_open_connections() {
+    let limits = Limits {
+        slow_start_connections: 1_000,
+        ..limits(4, 250)
+    };
+    let collapses_after = |resets| {
+        let mut policy = AdmissionPolicy::new(limits, TrustOptions::default());
+        let admit = |policy: &mut AdmissionPolicy| {
+            let mut guard = policy.admit(Time::ZERO, Attempt::default()).ok()?;
+            guard.set_connected();
+            Some(guard)
+        };
+        let guards: Vec<_> = (0..1_000).map_while(|_| admit(&mut policy)).collect();
+        assert_eq!(guards.len(), 1_000);
+        for _ in 0..resets {
+            policy.observe_reset(Time::ZERO);
+        }
+        policy.status().collapses
+    };
+    assert_eq!((collapses_after(9), collapses_after(10)), (0, 1));
+}
