cli: status reports isolated balancers

Cause: a balancer whose configuration nobody confirms says so in its status, and the command did not show it.

--- a/crates/cli/src/commands/status.rs
+++ b/crates/cli/src/commands/status.rs
@@ -110,6 +110,11 @@
         match &node.answered.answer {
             Err(error) => add(Alert::BalancerUnreachable, error.message.to_string()),
             Ok(status) => {
+                let standing = status["standing"].as_str().unwrap_or_default();
+                if standing.eq_ignore_ascii_case("isolated") {
+                    let message = "serves its last configuration, which nobody confirms";
+                    add(Alert::Isolated, message.to_owned());
+                }
                 for object in list(&status["objects_invalid"]) {
                     let [key, version, reason] =
                         ["key", "version", "reason"].map(|field| cell(&object[field]));
--- a/crates/cli/tests/command/views.rs
+++ b/crates/cli/tests/command/views.rs
@@ -64,6 +64,7 @@
     behind["objects_invalid"] =
         json!([{"key": "services/x", "version": 9, "reason": "field \"port\" is 0"}]);
     behind["problems"] = json!(["routing: service y states id 1, which service x has"]);
+    behind["standing"] = json!("isolated");
     behind["domains_out"] = json!(["tas-devonport"]);
     node.set_status(behind);
     world.register(1, world.serve(node)?)?;
@@ -76,12 +77,13 @@
         "n-1: services/x version 9 is invalid and not in force: field \"port\" is 0",
         "n-1: routing: service y states id 1, which service x has",
         "n-1: failure domain tas-devonport is out",
+        "n-1: serves its last configuration, which nobody confirms [isolated]",
         "n-2: http: no answer of 127.0.0.1:9",
     ] {
         assert!(shown.contains(part), "{part}: {shown}");
     }
     let json: Value = serde_json::from_str(&world.expect(0, &["status", "--json"])?)?;
-    assert_eq!(json["degraded"][0]["alert"], "object_invalid");
+    assert_eq!(json["degraded"][1]["alert"], "object_invalid");
     assert_eq!(json["balancers"][0]["lags"][0]["stored"], 1);
     assert_eq!(json["balancers"][1]["state"], "no answer");
     Ok(())
--- a/crates/core/src/alert/mod.rs
+++ b/crates/core/src/alert/mod.rs
@@ -9,6 +9,8 @@
     StoreUnavailable,
     /// A registered balancer does not answer.
     BalancerUnreachable,
+    /// Nobody confirms the configuration of a process; it keeps its last one.
+    Isolated,
     /// A balancer has an older version of an object than the store.
     VersionLag,
     /// An object of the store does not satisfy the schema.
@@ -44,9 +46,10 @@
 
 impl Alert {
     /// All alerts, in the order of the operators' page.
-    pub const ALL: [Self; 12] = [
+    pub const ALL: [Self; 13] = [
         Self::StoreUnavailable,
         Self::BalancerUnreachable,
+        Self::Isolated,
         Self::VersionLag,
         Self::ObjectInvalid,
         Self::ClaimNotInForce,
@@ -66,6 +69,7 @@
         match self {
             Self::StoreUnavailable => AlertEntry::new("store_unavailable", "`status`; log event `store_unavailable`", "Wait for the platform; traffic continues on the last configuration. Make no change until it answers."),
             Self::BalancerUnreachable => AlertEntry::new("balancer_unreachable", "`status`", "If the instance is gone for good, `delete nodes/<id> --force`; otherwise replace it."),
+            Self::Isolated => AlertEntry::new("isolated", "`status`; `cardamomloom_isolated` = 1", "Check the network of the instance; it serves its last configuration until it hears of others."),
             Self::VersionLag => AlertEntry::new("version_lag", "`status`, for longer than 19 s", "Check that the balancer reaches the store or its peers; replace it if it does not catch up."),
             Self::ObjectInvalid => AlertEntry::new("object_invalid", "`status`; `cardamomloom_objects_invalid` > 0", "Correct the named field with `edit` or `apply`; the last valid version stays in force."),
             Self::ClaimNotInForce => AlertEntry::new("claim_not_in_force", "`status`; `cardamomloom_claims_not_in_force` > 0", "Give the named service another id or address, or delete it."),
