daemon: render the status when it is read and once a second

It is now rendered a second after the last time, or at the next tick after it was read. With the mechanism off, the test counts 100 renderings in ten seconds in place of 10.

--- a/crates/daemon/src/balancer/control.rs
+++ b/crates/daemon/src/balancer/control.rs
@@ -171,6 +171,10 @@
     }
 
     fn publish_status(&self) {
+        let now = self.options.clock.now();
+        if !self.options.inspect.status_is_due(now) {
+            return;
+        }
         let versions: Vec<_> = self
             .catalogue
             .versions()
