standins: a paused agent keeps its flows

Cause: an agent that is paused for 20 s is declared gone; the others must neither reset its flows nor run their requests.

Change: end-to-end test with SIGSTOP of an agent under load.

--- a/crates/standins/tests/end_to_end.rs
+++ b/crates/standins/tests/end_to_end.rs
@@ -59,6 +59,24 @@
     assert!(outcome.is_clean(), "{outcome:?}");
 }
 
+/// Guards against flows that are given up while their agent is paused, or whose requests run again
+/// elsewhere: the others must not answer for an agent that may come back.
+#[test]
+fn verify_paused_agent_keeps_its_flows() {
+    let load = Load {
+        requests_per_flow: 36,
+        timeout_ms: 45_000,
+        ..Load::default()
+    };
+    let outcome = run("pause-agent", &load, |installation| {
+        let agent = installation.agent(0, 1)?;
+        agent.signal(Signal::SIGSTOP)?;
+        thread::sleep(Duration::from_secs(20));
+        agent.signal(Signal::SIGCONT)
+    });
+    assert!(outcome.is_clean(), "{outcome:?}");
+}
+
 /// Guards against a killed agent that takes flows of other hosts with it, or whose requests run
 /// again elsewhere.
 #[test]
