--- a/crates/bench/src/experiment/mod.rs
+++ b/crates/bench/src/experiment/mod.rs
@@ -1,12 +1,16 @@
 //! What an experiment is, and the registry of all experiments.
 
 mod agent;
+mod announce;
 mod churn;
+mod disseminate;
 mod fixture;
+mod fleets;
 mod forward;
 mod lookup;
 mod memory;
 mod status;
+mod store;
 mod table;
 
 use {crate::report::Report, cardamomloom_core::error::Error, std::path::PathBuf};
@@ -46,10 +50,13 @@
 pub fn registry() -> Vec<Box<dyn Experiment>> {
     vec![
         Box::new(agent::AgentFlows),
+        Box::new(announce::Announce),
+        Box::new(disseminate::Disseminate),
         Box::new(forward::Forward),
         Box::new(churn::Churn),
         Box::new(lookup::Lookup),
         Box::new(status::Status),
+        Box::new(store::Store),
         Box::new(table::Table),
     ]
 }
