Spread membership and configuration epidemically

Cause: every agent announced to every balancer, every process watched the store, and one balancer alone removed a silent host everywhere. Change: an agent announces to three balancers of its region, chosen by rendezvous hashing over different failure domains. They tell the others by gossip of changes with digests and anti-entropy. A host, balancer or whole failure domain is declared lost when two witnesses had five unanswered probes each; a lost failure domain is one mark and leaves all host entries in place. Two readers in each failure domain watch the store, others learn from peers, and no object returns to a lower version. Every control message of a balancer passes a token bucket of 3,000 B/s with priorities.

Catch up in bulk over gRPC and measure control traffic

Cause: a balancer that starts learned the hosts through its byte budget, which takes over a minute at 4,300 hosts, and an object larger than a datagram reached nobody. Agents whose balancers were short of budget sent five times as many signs of life, which kept the balancers short. Change: service Sync (crates/protocol/proto/sync.proto, generated code committed) listens on the control port over TCP; a balancer that differs from a peer at its start or for 3 s pulls what it lacks. What repair brings is not passed on as news. An agent repeats its announcement only when a balancer asks for its entry. The in-memory network lies in the stand-ins (control_plane), for the new experiments announce, disseminate and store. Catch-up of 4,300 hosts in one call is tested on loopback.

--- a/crates/bench/src/experiment/mod.rs
+++ b/crates/bench/src/experiment/mod.rs
@@ -1,14 +1,18 @@
 //! What an experiment is, and the registry of all experiments.
 
 mod agent;
+mod announce;
 mod balance;
 mod churn;
+mod disseminate;
 mod domain;
 mod fixture;
+mod fleets;
 mod forward;
 mod lookup;
 mod memory;
 mod status;
+mod store;
 mod table;
 
 use {crate::report::Report, cardamomloom_core::error::Error, std::path::PathBuf};
@@ -48,10 +52,13 @@
 pub fn registry() -> Vec<Box<dyn Experiment>> {
     vec![
         Box::new(agent::AgentFlows),
+        Box::new(announce::Announce),
+        Box::new(disseminate::Disseminate),
         Box::new(forward::Forward),
         Box::new(churn::Churn),
         Box::new(lookup::Lookup),
         Box::new(status::Status),
+        Box::new(store::Store),
         Box::new(table::Table),
         Box::new(domain::Domain),
         Box::new(balance::Balance),
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod agent;
 pub mod balancer;
 pub mod changes;
+pub mod dissemination;
 pub mod freshness;
 pub mod handover;
 pub mod membership;
--- a/crates/daemon/src/agent/control.rs
+++ b/crates/daemon/src/agent/control.rs
@@ -3,9 +3,10 @@
 use {
     super::packet_loop::{Command, CommandSender},
     crate::{
-        control::{ControlSender, Event},
+        control::{ControlSender, Event, StoreAnswer},
         freshness::{Confirmer, FreshnessGate, Lease},
         inspect::DaemonInspect,
+        runtime::StoreUse,
     },
     cardamomloom_coordination::{
         admission::{AdmissionStatus, Limits, LoadExchange, LoadExchangeOptions},
@@ -18,7 +19,7 @@
     cardamomloom_protocol::{
         control::{HostEntry, HostState, Message},
         object::{self, NODES_PREFIX, NodeSpec, ServiceSpec},
-        store_api::{Object, ObjectList},
+        store_api::Object,
     },
     cardamomloom_state::{
         candidates::CandidateTable,
@@ -30,6 +31,7 @@
     serde_json::json,
     stakker::{CX, after},
     std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration},
+    tokio::sync::watch,
 };
 
 const TICK: Duration = Duration::from_millis(50);
@@ -41,6 +43,9 @@
 /// Time after the announcement of the end during which stray packets are still passed on.
 const LINGER: Span = Span::from_millis(1_000);
 
+/// Time for which seeds are tried before the store is asked for balancers.
+const SEED_SPAN: Span = Span::from_millis(1_000);
+
 /// What the control actor works with.
 pub struct ControlOptions {
     /// Own host.
@@ -59,6 +64,8 @@
     pub control_address: SocketAddr,
     /// Control sockets of balancers from the settings.
     pub seeds: Vec<SocketAddr>,
+    /// What the process asks of the store: the balancers, while it has contact with none.
+    pub store_use: watch::Sender<StoreUse>,
     /// Clock of the process.
     pub clock: MonotonicClock,
     /// Sender of control messages.
@@ -87,8 +94,7 @@
     gate: FreshnessGate,
     catalogue: Catalogue,
     nodes: BTreeMap<Arc<str>, SocketAddr>,
-    /// Exists once the service is known.
-    membership: Option<AgentMembership>,
+    membership: AgentMembership,
     loads: Option<LoadExchange>,
     spec: Option<Arc<ServiceSpec>>,
     domain_out: bool,
@@ -108,12 +114,19 @@
             options.lease.clone(),
             options.confirmer.clone(),
         );
+        let mut membership = AgentMembership::new(
+            options.service.clone(),
+            options.domain.clone(),
+            options.incarnation.0,
+            AgentMembershipOptions::default(),
+        );
+        membership.set_contacts(options.seeds.clone());
         Some(Self {
             gate,
             options,
             catalogue: Catalogue::default(),
             nodes: BTreeMap::new(),
-            membership: None,
+            membership,
             loads: None,
             spec: None,
             domain_out: false,
@@ -130,8 +143,8 @@
         let now = self.options.clock.now();
         self.gate.on_step(now);
         match event {
-            Event::Objects(list) => {
-                self.on_objects(now, &list);
+            Event::Objects(answer) => {
+                self.on_store(now, &answer);
                 self.gate.on_heard(now);
             }
             Event::Confirmed { asked } => self.gate.on_confirmed(now, asked),
@@ -139,14 +152,15 @@
                 self.gate.on_heard(now);
                 self.options.commands.send(Command::Handover(message));
             }
-            Event::Datagram { message, .. } => {
+            Event::Datagram { from, message, .. } => {
                 self.gate.on_heard(now);
-                if let Some(membership) = self.membership.as_mut() {
-                    membership.on_message(now, &message);
+                for outgoing in self.membership.on_message(now, from, &message) {
+                    self.options.sender.send(outgoing.to, &outgoing.message);
                 }
                 if let Some(loads) = self.loads.as_mut() {
                     loads.on_message(now, &message);
                 }
+                self.apply_objects(now);
                 self.update_table(false);
             }
             Event::Flows {
@@ -161,6 +175,8 @@
             Event::ServerReport(report) => {
                 self.options.commands.send(Command::ServerReport(report));
             }
+            // Agents serve no catch-ups.
+            Event::SyncRequest { .. } | Event::Synced(_) => {}
             Event::Stop => self.start_drain(now),
         }
         self.advance_stop(cx, now);
@@ -170,11 +186,10 @@
         after!(TICK, [cx], on_tick());
         let now = self.options.clock.now();
         self.gate.on_step(now);
-        if let Some(membership) = self.membership.as_mut() {
-            for outgoing in membership.on_tick(now) {
-                self.options.sender.send(outgoing.to, &outgoing.message);
-            }
+        for outgoing in self.membership.on_tick(now) {
+            self.options.sender.send(outgoing.to, &outgoing.message);
         }
+        self.choose_store_use(now);
         self.exchange_loads(now);
         self.publish_status();
         self.advance_stop(cx, now);
@@ -182,11 +197,10 @@
 
     /// Tells peers the own load and the packet loop the mean of the service.
     fn exchange_loads(&mut self, now: Time) {
-        let (Some(loads), Some(membership)) = (self.loads.as_mut(), self.membership.as_ref())
-        else {
+        let Some(loads) = self.loads.as_mut() else {
             return;
         };
-        let (hosts, own) = (membership.hosts(), self.admission.open_connections);
+        let (hosts, own) = (self.membership.hosts(), self.admission.open_connections);
         let due = loads.on_tick(now, own, hosts);
         if due.is_empty() {
             return;
@@ -204,14 +218,40 @@
         }
     }
 
-    fn on_objects(&mut self, now: Time, list: &ObjectList) {
+    /// Lists the balancers of the store while none of those known answers.
+    fn choose_store_use(&self, now: Time) {
+        let is_needed = self.membership.is_lonely(now)
+            && (self.options.seeds.is_empty() || now.since(Time::ZERO) > SEED_SPAN);
+        let wanted = if is_needed {
+            StoreUse::Watch
+        } else {
+            StoreUse::Idle
+        };
+        self.options
+            .store_use
+            .send_if_modified(|present| std::mem::replace(present, wanted) != wanted);
+    }
+
+    fn on_store(&mut self, now: Time, answer: &StoreAnswer) {
+        if answer.prefix != NODES_PREFIX {
+            self.membership.on_store(answer.prefix, &answer.list);
+            self.apply_objects(now);
+            return;
+        }
+        if answer.is_complete {
+            self.nodes.clear();
+        }
+        for object in &answer.list.objects {
+            self.on_node(object);
+        }
+        self.update_contacts();
+    }
+
+    /// Takes up the objects that balancers told.
+    fn apply_objects(&mut self, now: Time) {
         let mut changed = false;
-        for object in &list.objects {
-            if object.key.starts_with(NODES_PREFIX) {
-                self.on_node(object);
-                continue;
-            }
-            match self.catalogue.apply(object) {
+        for object in self.membership.take_changed_objects() {
+            match self.catalogue.apply(&object) {
                 Ok(applied) => changed |= applied == Applied::Changed,
                 Err(error) => {
                     metrics::counter!("cardamomloom_invalid_objects_total").increment(1);
@@ -224,7 +264,6 @@
         if changed {
             self.on_catalogue(now);
         }
-        self.update_balancers();
     }
 
     fn on_node(&mut self, object: &Object) {
@@ -240,14 +279,12 @@
         }
     }
 
-    fn update_balancers(&mut self) {
-        let mut balancers: Vec<SocketAddr> = self.nodes.values().copied().collect();
-        balancers.extend(&self.options.seeds);
-        balancers.sort_unstable();
-        balancers.dedup();
-        if let Some(membership) = self.membership.as_mut() {
-            membership.set_balancers(balancers);
-        }
+    fn update_contacts(&mut self) {
+        let mut contacts: Vec<SocketAddr> = self.nodes.values().copied().collect();
+        contacts.extend(&self.options.seeds);
+        contacts.sort_unstable();
+        contacts.dedup();
+        self.membership.set_contacts(contacts);
     }
 
     fn on_catalogue(&mut self, now: Time) {
@@ -264,8 +301,8 @@
             addresses,
             limits: Limits::of(&spec, self.options.weight),
         });
-        if self.membership.is_none() {
-            self.join(&spec);
+        if self.membership.entry().is_none() {
+            self.join(now, &spec);
         }
         self.spec = Some(spec);
         let out = self.catalogue.is_out(&self.options.domain);
@@ -273,10 +310,8 @@
             self.domain_out = out;
             self.options.commands.send(Command::DomainOut(out));
         }
-        if let Some(membership) = self.membership.as_mut()
-            && self.stopping == Stopping::No
-        {
-            membership.set_state(now, HostState::Ready);
+        if self.stopping == Stopping::No {
+            self.membership.set_state(now, HostState::Ready);
             self.options.inspect.set_ready(true);
         }
         self.update_table(true);
@@ -297,7 +332,7 @@
         self.spec.clone()
     }
 
-    fn join(&mut self, spec: &ServiceSpec) {
+    fn join(&mut self, now: Time, spec: &ServiceSpec) {
         let entry = HostEntry {
             host: self.options.host,
             service: spec.id,
@@ -315,25 +350,25 @@
             entry.weight,
             LoadExchangeOptions::default(),
         ));
-        self.membership = Some(AgentMembership::new(
-            entry,
-            AgentMembershipOptions::default(),
-        ));
+        self.membership.join(now, entry);
     }
 
     fn update_table(&mut self, force: bool) {
-        let (Some(membership), Some(spec)) = (self.membership.as_mut(), self.spec.as_ref()) else {
+        let Some(spec) = self.spec.as_ref() else {
             return;
         };
-        if !membership.take_changed() && !force {
+        if !self.membership.take_changed() && !force {
             return;
         }
-        let candidates = candidates_of(spec.id, &self.catalogue, membership.hosts());
+        let candidates = candidates_of(spec.id, &self.catalogue, self.membership.hosts());
         let members = Members {
-            incarnation: membership.entry().incarnation,
+            incarnation: self
+                .membership
+                .entry()
+                .map_or(self.options.incarnation, |entry| entry.incarnation),
             peers: candidates
                 .iter()
-                .filter_map(|candidate| membership.hosts().get(candidate.host))
+                .filter_map(|candidate| self.membership.hosts().get(candidate.host))
                 .map(|entry| Peer {
                     host: entry.host,
                     incarnation: entry.incarnation,
@@ -344,7 +379,7 @@
         match CandidateTable::build(spec.id, spec.hash_key_bytes(), candidates) {
             Ok(table) => {
                 self.table = table.version();
-                membership.set_table(self.table);
+                self.membership.set_table(self.table);
                 self.options
                     .commands
                     .send(Command::Table(Arc::new(table), members));
@@ -364,9 +399,7 @@
         info!(event = "draining", open_flows = self.open_flows, timeout:%; "agent drains");
         self.options.inspect.set_ready(false);
         self.options.commands.send(Command::Accepting(false));
-        if let Some(membership) = self.membership.as_mut() {
-            membership.set_state(now, HostState::Draining);
-        }
+        self.membership.set_state(now, HostState::Draining);
         self.update_table(false);
         self.stopping = Stopping::Draining {
             since: now,
@@ -389,9 +422,7 @@
 
     fn announce_gone(&mut self, now: Time) {
         info!(event = "drained", open_flows = self.open_flows; "agent announces its end");
-        if let Some(membership) = self.membership.as_mut() {
-            membership.set_state(now, HostState::Gone);
-        }
+        self.membership.set_state(now, HostState::Gone);
         self.update_table(false);
         self.stopping = Stopping::Lingering {
             until: now + LINGER,
@@ -399,10 +430,12 @@
     }
 
     fn publish_status(&self) {
-        let entry = self.membership.as_ref().map(AgentMembership::entry);
+        let entry = self.membership.entry();
         self.options.inspect.set_status(json!({
             "role": "agent",
             "host": entry,
+            "balancers": self.membership.assigned(),
+            "confirmation": format!("{:?}", self.membership.confirmation()),
             "table": self.table.to_string(),
             "open_flows": self.open_flows,
             "admission": self.admission,
--- a/crates/daemon/src/agent/mod.rs
+++ b/crates/daemon/src/agent/mod.rs
@@ -9,11 +9,11 @@
         burn::AgentTotals,
         control::{Event, run as run_control},
         freshness::{Confirmer, Lease},
-        runtime::{Shell, watch_server_load, watch_store},
+        runtime::{Shell, StoreUse, use_store, watch_server_load},
         settings::{AgentSettings, Settings},
     },
     cardamomloom_core::{HostId, error::Error},
-    cardamomloom_protocol::object::{DOMAINS_PREFIX, NODES_PREFIX, SERVICES_PREFIX},
+    cardamomloom_protocol::object::NODES_PREFIX,
     cardamomloom_transport::server_load::LoadClient,
     control::{AgentControl, ControlOptions},
     log::info,
@@ -26,6 +26,7 @@
         sync::{Arc, atomic::Ordering},
         time::Instant,
     },
+    tokio::sync::watch,
 };
 
 /// Result of running an agent.
@@ -63,10 +64,15 @@
         let watch = watch_server_load(LoadClient::new(url)?, shell.event_sender.clone());
         shell.runtime.spawn(watch);
     }
-    for prefix in [SERVICES_PREFIX, DOMAINS_PREFIX, NODES_PREFIX] {
-        let watch = watch_store(shell.store.clone(), prefix, shell.event_sender.clone());
-        shell.runtime.spawn(watch);
-    }
+    let store_use = watch::Sender::new(StoreUse::Idle);
+    let events = shell.event_sender.clone();
+    let reader = use_store(
+        shell.store.clone(),
+        NODES_PREFIX,
+        store_use.subscribe(),
+        events,
+    );
+    shell.runtime.spawn(reader);
     let options = ControlOptions {
         host,
         service: agent.service.clone(),
@@ -76,6 +82,7 @@
         data_address: shell.data_address,
         control_address: shell.control_address,
         seeds: settings.seeds.clone(),
+        store_use,
         clock: shell.clock,
         sender: shell.control,
         commands,
--- a/crates/daemon/src/balancer/control.rs
+++ b/crates/daemon/src/balancer/control.rs
@@ -2,28 +2,35 @@
 
 use {
     crate::{
-        control::{ControlSender, Event},
+        balancer::STORE_PREFIXES,
+        control::{ControlSender, Event, StoreAnswer},
         freshness::{Confirmer, FreshnessGate, Lease},
         inspect::DaemonInspect,
+        runtime::StoreUse,
     },
     arc_swap::ArcSwap,
     cardamomloom_coordination::membership::{
-        BalancerMembership, BalancerMembershipOptions, Outgoing,
+        BalancerIdentity, BalancerMembership, BalancerMembershipOptions, Confirmation, Sender,
     },
-    cardamomloom_core::{NodeId, Span},
-    cardamomloom_protocol::store_api::ObjectList,
+    cardamomloom_core::{Span, error::Error},
+    cardamomloom_protocol::{store_api::Object, sync::SyncedItems},
     cardamomloom_state::{
         catalogue::{Applied, Catalogue},
         routing::RoutingTable,
     },
-    cardamomloom_transport::clock::MonotonicClock,
+    cardamomloom_transport::{clock::MonotonicClock, sync},
     log::{info, warn},
     serde_json::json,
     stakker::{CX, after},
-    std::{sync::Arc, time::Duration},
+    std::{
+        collections::BTreeSet,
+        sync::{Arc, mpsc::SyncSender},
+        time::Duration,
+    },
+    tokio::{runtime::Handle, sync::watch},
 };
 
-const TICK: Duration = Duration::from_millis(100);
+const TICK: Duration = Duration::from_millis(50);
 
 /// Time for which the packet loop may still forward when the control thread has ended: one call
 /// to a store that does not answer, and the rest of the socket.
@@ -31,8 +38,14 @@
 
 /// What the control actor works with.
 pub struct ControlOptions {
-    /// Identity of the balancer.
-    pub node: NodeId,
+    /// Who the balancer is.
+    pub identity: BalancerIdentity,
+    /// What the process asks of the store.
+    pub store_use: watch::Sender<StoreUse>,
+    /// Runs catch-ups over gRPC.
+    pub runtime: Handle,
+    /// Takes their outcome.
+    pub events: SyncSender<Event>,
     /// Clock of the process.
     pub clock: MonotonicClock,
     /// Sender of control messages.
@@ -55,7 +68,10 @@
     catalogue: Catalogue,
     membership: BalancerMembership,
     gate: FreshnessGate,
-    services_listed: bool,
+    /// Prefixes that the store has listed since the start.
+    listed: BTreeSet<&'static str>,
+    is_informed: bool,
+    is_syncing: bool,
     stopping: bool,
 }
 
@@ -63,8 +79,11 @@
     /// Creates the actor and starts its timer.
     pub fn init(cx: CX![], options: ControlOptions) -> Option<Self> {
         after!(TICK, [cx], on_tick());
-        let membership =
-            BalancerMembership::new(options.node, BalancerMembershipOptions::default());
+        let identity = options.identity.clone();
+        let seed = identity.node.0 ^ identity.incarnation.0;
+        let mut membership =
+            BalancerMembership::new(identity, BalancerMembershipOptions::default(), seed);
+        membership.confirm_versions(options.clock.now());
         let gate = FreshnessGate::new(
             options.clock.now(),
             options.lease.clone(),
@@ -75,7 +94,9 @@
             options,
             catalogue: Catalogue::default(),
             membership,
-            services_listed: false,
+            listed: BTreeSet::new(),
+            is_informed: false,
+            is_syncing: false,
             stopping: false,
         })
     }
@@ -85,23 +106,34 @@
         let now = self.options.clock.now();
         self.gate.on_step(now);
         match event {
-            Event::Objects(list) => {
-                self.on_objects(&list);
+            Event::Objects(answer) => {
+                self.on_store(&answer);
                 self.gate.on_heard(now);
             }
             Event::Confirmed { asked } => {
                 self.gate.on_confirmed(now, asked);
                 self.update_ready();
             }
-            Event::Datagram { from, message, .. } => {
+            Event::Datagram {
+                from,
+                sender,
+                message,
+            } => {
                 self.gate.on_heard(now);
-                let routing = self.options.routing.load_full();
-                let answers = self.membership.on_message(now, from, message, |entry| {
-                    routing.service(entry.service).map(|table| table.version())
+                self.membership
+                    .on_message(now, from, Sender::from(sender), message);
+                self.take_results();
+            }
+            Event::SyncRequest { known, reply } => {
+                let (objects, marks, hosts) = self.membership.sync_answer(&known);
+                // A peer that gave up meanwhile needs no answer.
+                let _ = reply.send(SyncedItems {
+                    objects,
+                    marks,
+                    hosts,
                 });
-                self.send(&answers);
-                self.rebuild_if_changed();
             }
+            Event::Synced(outcome) => self.on_synced(outcome),
             Event::Stop => self.stop(cx),
             Event::Flows { .. } | Event::ServerReport(_) => {}
         }
@@ -112,14 +144,82 @@
         let now = self.options.clock.now();
         self.gate.on_step(now);
         self.membership.on_tick(now);
-        self.rebuild_if_changed();
+        self.take_results();
+        self.catch_up();
+        self.choose_store_use();
         self.update_ready();
         self.publish_status();
     }
 
-    fn on_objects(&mut self, list: &ObjectList) {
+    fn on_store(&mut self, answer: &StoreAnswer) {
+        if answer.is_complete {
+            self.listed.insert(answer.prefix);
+        }
+        self.membership
+            .on_store(answer.prefix, &answer.list, answer.is_complete);
+        self.take_results();
+        self.update_ready();
+    }
+
+    /// Copies what is newer at a peer over gRPC when comparing digests is not enough.
+    fn catch_up(&mut self) {
+        let peer = self.membership.sync_wanted(self.options.clock.now());
+        let Some(peer) = peer.filter(|_| !self.is_syncing) else {
+            return;
+        };
+        self.is_syncing = true;
+        let known = self.membership.knowledge().known_items();
+        let events = self.options.events.clone();
+        self.options.runtime.spawn(async move {
+            let outcome = sync::pull(peer, known).await;
+            // The control thread is gone only when the process stops.
+            let _ = events.send(Event::Synced(outcome));
+        });
+    }
+
+    fn on_synced(&mut self, outcome: Result<SyncedItems, Error>) {
+        self.is_syncing = false;
+        match outcome {
+            Ok(items) => {
+                info!(event = "synced", objects = items.objects.len(), hosts = items.hosts.len(); "caught up with a peer");
+                let now = self.options.clock.now();
+                self.membership
+                    .on_sync(now, &items.objects, &items.marks, &items.hosts);
+                self.take_results();
+            }
+            Err(error) => warn!(event = "sync_failed"; "{error}"),
+        }
+    }
+
+    /// Takes over what the membership learned, and sends what it has to say.
+    fn take_results(&mut self) {
+        let objects = self.membership.take_changed_objects();
+        self.on_objects(&objects);
+        self.rebuild_if_changed();
+        for outgoing in self.membership.take_outgoing(self.options.clock.now()) {
+            self.options.sender.send(outgoing.to, &outgoing.message);
+        }
+    }
+
+    /// Lists the store once, and watches it while this balancer is a reader.
+    fn choose_store_use(&self) {
+        let is_listed = self.listed.len() == STORE_PREFIXES.len();
+        let wanted = if self.membership.is_reader() && is_listed {
+            StoreUse::Watch
+        } else if self.is_informed {
+            StoreUse::Idle
+        } else {
+            StoreUse::List
+        };
+        self.options.store_use.send_if_modified(|present| {
+            // A list that was begun is completed by the watch without a second one.
+            std::mem::replace(present, wanted) != wanted
+        });
+    }
+
+    fn on_objects(&mut self, objects: &[Object]) {
         let mut changed = false;
-        for object in &list.objects {
+        for object in objects {
             match self.catalogue.apply(object) {
                 Ok(Applied::Changed) => {
                     info!(event = "object_applied", key = object.key, version:% = object.version; "object is in force");
@@ -132,13 +232,11 @@
                 }
             }
         }
-        self.services_listed = true;
         metrics::gauge!("cardamomloom_objects_invalid")
             .set(self.catalogue.rejected().count() as f64);
         if changed {
             self.rebuild();
         }
-        self.update_ready();
     }
 
     fn rebuild_if_changed(&mut self) {
@@ -149,7 +247,7 @@
 
     fn rebuild(&mut self) {
         let present = self.options.routing.load_full();
-        match present.rebuild(&self.catalogue, self.membership.hosts()) {
+        match present.rebuild(&self.catalogue, &self.membership.reachable_hosts()) {
             Ok(next) => {
                 if next.problems() != present.problems() {
                     for problem in next.problems() {
@@ -164,10 +262,18 @@
         }
     }
 
-    fn update_ready(&self) {
-        self.options
-            .inspect
-            .set_ready(self.services_listed && !self.stopping && self.gate.may_forward());
+    /// A balancer is informed when the store listed everything, or peers confirmed what it knows.
+    fn update_ready(&mut self) {
+        let is_listed = self.listed.len() == STORE_PREFIXES.len();
+        let is_confirmed = self.membership.confirmation() == Confirmation::Confirmed;
+        let knows_services = self.catalogue.services().next().is_some();
+        self.is_informed |= is_listed || (is_confirmed && knows_services);
+        self.options.inspect.set_ready(
+            self.is_informed
+                && self.membership.is_caught_up()
+                && !self.stopping
+                && self.gate.may_forward(),
+        );
     }
 
     fn publish_status(&self) {
@@ -183,7 +289,11 @@
         let hosts: Vec<_> = self.membership.hosts().iter().collect();
         self.options.inspect.set_status(json!({
             "role": "balancer",
-            "node": self.options.node.to_string(),
+            "node": self.options.identity.node.to_string(),
+            "confirmation": format!("{:?}", self.membership.confirmation()),
+            "reader": self.membership.is_reader(),
+            "lost_domains": self.membership.hosts().lost_domains().collect::<Vec<_>>(),
+            "unreachable": self.membership.unreachable().collect::<Vec<_>>(),
             "stopping": self.stopping,
             "standing": self.gate.standing(),
             "objects": versions,
@@ -194,12 +304,6 @@
         }));
     }
 
-    fn send(&self, messages: &[Outgoing]) {
-        for outgoing in messages {
-            self.options.sender.send(outgoing.to, &outgoing.message);
-        }
-    }
-
     fn stop(&mut self, cx: CX![]) {
         if self.stopping {
             return;
--- a/crates/daemon/src/balancer/mod.rs
+++ b/crates/daemon/src/balancer/mod.rs
@@ -8,15 +8,17 @@
 
 use {
     crate::{
-        control::{Event, run as run_control},
+        control::{Event, EventSyncSource, run as run_control},
         freshness::{Confirmer, Lease},
-        runtime::{Registration, Shell, watch_store},
+        runtime::{Registration, Shell, StoreUse, use_store},
         settings::{BalancerSettings, Settings},
     },
     arc_swap::ArcSwap,
+    cardamomloom_coordination::membership::BalancerIdentity,
     cardamomloom_core::{NodeId, Span, error::Error},
-    cardamomloom_protocol::object::{DOMAINS_PREFIX, NodeSpec, SERVICES_PREFIX},
+    cardamomloom_protocol::object::{DOMAINS_PREFIX, NODES_PREFIX, NodeSpec, SERVICES_PREFIX},
     cardamomloom_state::routing::RoutingTable,
+    cardamomloom_transport::sync,
     control::{BalancerControl, ControlOptions},
     log::info,
     packet_loop::PacketLoop,
@@ -28,11 +30,15 @@
         sync::{Arc, atomic::Ordering},
         time::Instant,
     },
+    tokio::sync::watch,
 };
 
 /// Result of running a balancer.
 pub type Result<T> = std::result::Result<T, Error>;
 
+/// Prefixes of the store that a balancer lists at its start, and watches when it is a reader.
+pub const STORE_PREFIXES: [&str; 3] = [SERVICES_PREFIX, DOMAINS_PREFIX, NODES_PREFIX];
+
 /// Runs a balancer until it was asked to stop and its linger time has passed.
 ///
 /// # Errors
@@ -59,9 +65,11 @@
         },
         shell.stop.clone(),
     )?;
-    for prefix in [SERVICES_PREFIX, DOMAINS_PREFIX] {
-        let watch = watch_store(shell.store.clone(), prefix, shell.event_sender.clone());
-        shell.runtime.spawn(watch);
+    let store_use = watch::Sender::new(StoreUse::List);
+    for prefix in STORE_PREFIXES {
+        let events = shell.event_sender.clone();
+        let reader = use_store(shell.store.clone(), prefix, store_use.subscribe(), events);
+        shell.runtime.spawn(reader);
     }
     let spec = NodeSpec {
         node,
@@ -74,8 +82,22 @@
     let registration = Registration::new(shell.store.clone(), &spec)?;
     shell.runtime.spawn(registration.clone().register());
 
+    let source = Arc::new(EventSyncSource(shell.event_sender.clone()));
+    shell
+        .runtime
+        .spawn(sync::serve(shell.sync_listener, source));
+
     let options = ControlOptions {
-        node,
+        identity: BalancerIdentity {
+            node,
+            domain: settings.domain.clone(),
+            control_address: shell.control_address,
+            incarnation: shell.incarnation,
+            seeds: settings.seeds.clone(),
+        },
+        store_use,
+        runtime: shell.runtime.handle().clone(),
+        events: shell.event_sender.clone(),
         clock: shell.clock,
         sender: shell.control,
         routing,
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -13,8 +13,12 @@
         control::{self, Message, Origin, ReplayGuard},
         forward::DatagramKey,
         store_api::ObjectList,
+        sync::SyncedItems,
+    },
+    cardamomloom_transport::{
+        sync::{Known, SyncSource},
+        udp::{self, ReceiveBatch, Wait},
     },
-    cardamomloom_transport::udp::{self, ReceiveBatch, Wait},
     log::{debug, warn},
     stakker::{Fwd, Stakker},
     std::{
@@ -27,6 +31,7 @@
         thread,
         time::{Duration, Instant},
     },
+    tokio::sync::oneshot,
 };
 
 /// Result of starting control threads.
@@ -40,11 +45,31 @@
 
 const RECEIVE_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Objects that the store answered with.
+#[derive(Debug)]
+pub struct StoreAnswer {
+    /// Prefix of the keys.
+    pub prefix: &'static str,
+    /// The objects.
+    pub list: ObjectList,
+    /// Whether the answer has all objects under the prefix, and not changes only.
+    pub is_complete: bool,
+}
+
 /// An event for the control thread.
 #[derive(Debug)]
 pub enum Event {
     /// The store answered a list or a watch.
-    Objects(ObjectList),
+    Objects(StoreAnswer),
+    /// A peer asks over gRPC for what it lacks.
+    SyncRequest {
+        /// What the peer knows.
+        known: Known,
+        /// Takes the answer.
+        reply: oneshot::Sender<SyncedItems>,
+    },
+    /// A catch-up with a peer over gRPC ended.
+    Synced(Result<SyncedItems>),
     /// A control datagram arrived.
     Datagram {
         /// Address of its sender.
@@ -88,6 +113,17 @@
     }
 }
 
+/// Passes requests for a catch-up to the control thread.
+#[derive(Debug)]
+pub struct EventSyncSource(pub SyncSender<Event>);
+
+impl SyncSource for EventSyncSource {
+    fn ask(&self, known: Known, reply: oneshot::Sender<SyncedItems>) {
+        // When the queue is full the reply is dropped, and the peer asks another balancer.
+        let _ = self.0.try_send(Event::SyncRequest { known, reply });
+    }
+}
+
 /// Sends control messages from the control thread.
 #[derive(Clone, Debug)]
 pub struct ControlSender {
--- a/crates/daemon/src/freshness/mod.rs
+++ b/crates/daemon/src/freshness/mod.rs
@@ -1,7 +1,7 @@
 //! Freshness of a process: a lease for packet loops, and questions to the store.
 
 use {
-    crate::control::Event,
+    crate::control::{Event, StoreAnswer},
     cardamomloom_coordination::freshness::{Freshness, FreshnessOptions, Question, Standing},
     cardamomloom_core::Time,
     cardamomloom_protocol::object::{DOMAINS_PREFIX, SERVICES_PREFIX},
@@ -67,7 +67,14 @@
         self.handle.spawn(async move {
             for prefix in [SERVICES_PREFIX, DOMAINS_PREFIX] {
                 let sent = match store.list(prefix).await {
-                    Ok(list) => events.send(Event::Objects(list)).is_ok(),
+                    Ok(list) => {
+                        let answer = StoreAnswer {
+                            prefix,
+                            list,
+                            is_complete: true,
+                        };
+                        events.send(Event::Objects(answer)).is_ok()
+                    }
                     Err(error) => {
                         debug!(event = "confirm_failed", prefix; "{error}");
                         false
--- a/crates/daemon/src/runtime/mod.rs
+++ b/crates/daemon/src/runtime/mod.rs
@@ -4,7 +4,11 @@
 mod server_load;
 mod store_watch;
 
-pub use {registration::Registration, server_load::watch_server_load, store_watch::watch_store};
+pub use {
+    registration::Registration,
+    server_load::watch_server_load,
+    store_watch::{StoreUse, use_store},
+};
 
 use {
     crate::{
@@ -40,7 +44,7 @@
         thread,
         time::{SystemTime, UNIX_EPOCH},
     },
-    tokio::runtime::Runtime,
+    tokio::{net::TcpListener, runtime::Runtime},
 };
 
 /// Result of running a daemon.
@@ -58,6 +62,8 @@
     pub control_address: SocketAddr,
     /// Bound address of the operator endpoints.
     pub http_address: SocketAddr,
+    /// Listener for catch-ups over gRPC, on the port of the control socket.
+    pub sync_listener: TcpListener,
     /// Sender on the control socket.
     pub control: ControlSender,
     /// Events for the control thread.
@@ -107,7 +113,9 @@
             .build()
             .map_err(|error| io(format!("runtime: {error}")))?;
         let data_socket = udp::bind(settings.data_address)?;
-        let control_socket = Arc::new(udp::bind(settings.control_address)?);
+        let (control_socket, sync_listener) =
+            runtime.block_on(bind_control(settings.control_address))?;
+        let control_socket = Arc::new(control_socket);
         let listener = runtime.block_on(http::bind(settings.http_address))?;
         let address_error = |error| io(format!("runtime: a socket has no address: {error}"));
         let http_address = listener.local_addr().map_err(address_error)?;
@@ -148,6 +156,7 @@
             data_address,
             control_address,
             http_address,
+            sync_listener,
             control: ControlSender::new(control_socket, key, sender, incarnation),
             events,
             event_sender,
@@ -169,6 +178,29 @@
     }
 }
 
+/// Binds the control socket and a TCP listener on the same port.
+///
+/// When the system chooses the port of the socket, the port may be taken for TCP; then another one
+/// is tried.
+async fn bind_control(address: SocketAddr) -> Result<(UdpSocket, TcpListener)> {
+    const ATTEMPTS: usize = 16;
+    let mut attempts = 0;
+    loop {
+        let socket = udp::bind(address)?;
+        let bound = socket
+            .local_addr()
+            .map_err(|error| io(format!("runtime: a socket has no address: {error}")))?;
+        attempts += 1;
+        match TcpListener::bind(bound).await {
+            Ok(listener) => return Ok((socket, listener)),
+            Err(_) if address.port() == 0 && attempts < ATTEMPTS => {}
+            Err(error) => {
+                return Err(io(format!("runtime: cannot listen on {bound}: {error}")));
+            }
+        }
+    }
+}
+
 /// Turns the first SIGTERM or SIGINT into a stop event.
 fn spawn_signal_thread(events: SyncSender<Event>) -> Result<()> {
     let mut signals = Signals::new([SIGTERM, SIGINT])
--- a/crates/protocol/src/control/mod.rs
+++ b/crates/protocol/src/control/mod.rs
@@ -142,11 +142,15 @@
     ConfigRequest {
         /// Service of the agent.
         service: ServiceName,
+        /// Failure domain of the agent.
+        domain: DomainName,
     },
     /// A balancer tells an agent which balancers it is to announce its host to.
     Assignment {
         /// Control sockets of the balancers.
         balancers: Vec<SocketAddr>,
+        /// Control sockets of others, to turn to when all of these are silent.
+        spares: Vec<SocketAddr>,
     },
     /// A balancer tells an agent its digests, which the agent compares with its own.
     HeartbeatAnswer {
@@ -154,6 +158,8 @@
         hosts_digest: u32,
         /// Digest of the service's object, all failure domains and their marks.
         config_digest: u32,
+        /// Whether the balancer lacks the host's entry and asks for an announcement.
+        wants_entry: bool,
     },
     /// Changes and digests.
     Gossip(Gossip),
@@ -164,16 +170,18 @@
         /// Digest of each group.
         digests: Vec<u32>,
     },
-    /// Identity and rank of all items of a group.
+    /// Identity and rank of all items of a group whose identities lie in `first..=last`.
     Versions {
         /// Kind of the items.
         kind: Kind,
         /// Index of the group.
         group: u8,
+        /// Lowest identity that the list covers.
+        first: u64,
+        /// Highest identity that the list covers.
+        last: u64,
         /// The items.
         items: Vec<ItemRank>,
-        /// Whether the receiver is asked for its own list in return.
-        wants_answer: bool,
     },
     /// Asks for items.
     Want {
@@ -264,6 +272,12 @@
     (body + TAG_BYTES + HEADER_BYTES) as u64
 }
 
+/// Returns the encoded size of a part of a message, in bytes.
+#[must_use]
+pub fn encoded_bytes<T: Serialize>(part: &T) -> usize {
+    postcard::experimental::serialized_size(part).unwrap_or(usize::MAX)
+}
+
 /// Returns origin and message of a datagram.
 ///
 /// The caller rejects replays with a [`ReplayGuard`].
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod object;
 pub mod packet;
 pub mod store_api;
+pub mod sync;
--- /dev/null
+++ b/crates/standins/src/control_plane/mod.rs
@@ -0,0 +1,470 @@
+//! A small in-memory network of balancers and agents with a fake store, for tests and experiments.
+
+mod observe;
+mod options;
+mod store;
+
+pub use {
+    options::{FleetOptions, NetworkOptions, Process},
+    store::FakeStore,
+};
+
+use {
+    cardamomloom_coordination::membership::{
+        AgentMembership, BalancerIdentity, BalancerMembership, Outgoing, Sender,
+    },
+    cardamomloom_core::{
+        DomainName, HostId, Incarnation, NodeId, ObjectVersion, ServiceId, Span, Time, Weight,
+    },
+    cardamomloom_protocol::control::{HostEntry, HostState, Message, Origin, wire_bytes},
+    rand_chacha::{
+        ChaCha8Rng,
+        rand_core::{Rng, SeedableRng},
+    },
+    serde_json::json,
+    std::{
+        collections::{BTreeMap, HashMap, HashSet},
+        net::{Ipv4Addr, SocketAddr},
+    },
+};
+
+/// Time between two steps of the fake clock.
+pub const STEP: Span = Span::from_millis(10);
+
+/// Each process runs its tick at every fifth step.
+const STEPS_PER_TICK: u64 = 5;
+
+/// A balancer of a fleet.
+pub struct Balancer {
+    /// Its state machine.
+    pub membership: BalancerMembership,
+    /// Who it is.
+    pub identity: BalancerIdentity,
+    /// Whether the process exists.
+    pub is_running: bool,
+    /// End of a pause.
+    pub paused_until: Time,
+    /// Number of rebuilds of the routing table.
+    pub table_changes: u32,
+    listed: bool,
+    watched: ObjectVersion,
+}
+
+/// An agent of a fleet.
+pub struct Agent {
+    /// Its state machine.
+    pub membership: AgentMembership,
+    /// Entry with which it joins.
+    pub entry: HostEntry,
+    /// Whether the process exists.
+    pub is_running: bool,
+    /// End of a pause.
+    pub paused_until: Time,
+}
+
+/// Bytes and datagrams of a process, IP and UDP headers included.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Traffic {
+    /// Bytes sent.
+    pub sent: u64,
+    /// Bytes received.
+    pub received: u64,
+}
+
+struct Datagram {
+    to: Process,
+    from: Process,
+    message: Message,
+}
+
+/// Balancers and agents on a network, with a store.
+pub struct Fleet {
+    /// Virtual time.
+    pub now: Time,
+    /// What the fleet consists of.
+    pub options: FleetOptions,
+    /// The balancers.
+    pub balancers: Vec<Balancer>,
+    /// The agents.
+    pub agents: Vec<Agent>,
+    /// The store.
+    pub store: FakeStore,
+    /// Traffic of each process so far.
+    pub traffic: HashMap<Process, Traffic>,
+    /// Pairs of processes between which nothing passes, in both directions.
+    pub cut_pairs: HashSet<(Process, Process)>,
+    /// Regions that have lost contact with all others.
+    pub cut_regions: HashSet<&'static str>,
+    addresses: HashMap<SocketAddr, Process>,
+    in_flight: BTreeMap<(Time, u64), Datagram>,
+    datagrams: u64,
+    random: ChaCha8Rng,
+    steps: u64,
+}
+
+fn address(process: Process) -> SocketAddr {
+    let (second, index) = match process {
+        Process::Balancer(index) => (0, index),
+        Process::Agent(index) => (1, index),
+    };
+    let [high, low] = u16::try_from(index).expect("few processes").to_be_bytes();
+    SocketAddr::from((Ipv4Addr::new(10, second, high, low), 7_000))
+}
+
+impl Fleet {
+    /// Writes the catalogue and starts every process.
+    #[must_use]
+    pub fn start(options: FleetOptions) -> Self {
+        let mut fleet = Self {
+            now: Time::from_millis(1_000),
+            random: ChaCha8Rng::seed_from_u64(options.seed),
+            balancers: Vec::new(),
+            agents: Vec::new(),
+            store: FakeStore::default(),
+            traffic: HashMap::new(),
+            cut_pairs: HashSet::new(),
+            cut_regions: HashSet::new(),
+            addresses: HashMap::new(),
+            in_flight: BTreeMap::new(),
+            datagrams: 0,
+            steps: 0,
+            options,
+        };
+        for (name, region) in fleet.options.domains.clone() {
+            let region = if fleet.options.knows_regions {
+                region
+            } else {
+                "one"
+            };
+            let value = json!({"name": name, "region": region, "state": "in"});
+            fleet.store.put(&format!("domains/{name}"), Some(value));
+        }
+        for service in 0..fleet.options.services {
+            fleet.put_service(service, 2_000);
+        }
+        for index in 0..fleet.options.balancers {
+            fleet.start_balancer(index);
+        }
+        for index in 0..fleet.options.hosts {
+            fleet.start_agent(index);
+        }
+        fleet
+    }
+
+    /// Writes a service with a number of connections per slot.
+    pub fn put_service(&mut self, service: usize, connections: u32) -> ObjectVersion {
+        let name = format!("service-{service}");
+        let value = json!({
+            "name": name, "id": service + 1, "owner": "test", "class": "standard",
+            "addresses": [format!("203.0.113.{}", service % 250 + 1)], "port": 80,
+            "slots_per_host": 4, "connections_per_slot": connections,
+            "hash_key": "00112233445566778899aabbccddeeff",
+        });
+        self.store.put(&format!("services/{name}"), Some(value))
+    }
+
+    fn domain(&self, index: usize) -> DomainName {
+        let (name, _) = self.options.domains[index % self.options.domains.len()];
+        name.parse().expect("valid name")
+    }
+
+    fn seeds(&self) -> Vec<SocketAddr> {
+        (0..3.min(self.options.balancers))
+            .map(|index| address(Process::Balancer(index)))
+            .collect()
+    }
+
+    /// Starts or restarts a balancer with empty memory and registers it.
+    pub fn start_balancer(&mut self, index: usize) {
+        self.start_balancer_without_store(index);
+        let identity = &self.balancers[index].identity;
+        self.store.put(
+            &format!("nodes/{}", identity.node),
+            Some(json!({
+                "node": identity.node, "domain": identity.domain,
+                "incarnation": identity.incarnation, "data_address": identity.control_address,
+                "control_address": identity.control_address,
+                "http_address": identity.control_address,
+            })),
+        );
+    }
+
+    /// Cuts a balancer off from every other process.
+    pub fn cut_balancer(&mut self, index: usize) {
+        let balancers = (0..self.balancers.len()).map(Process::Balancer);
+        for other in balancers.chain((0..self.agents.len()).map(Process::Agent)) {
+            self.cut_pairs.insert((Process::Balancer(index), other));
+        }
+    }
+
+    /// Starts or restarts a balancer with empty memory whose registration the store has or does
+    /// not take.
+    pub fn start_balancer_without_store(&mut self, index: usize) {
+        let process = Process::Balancer(index);
+        let identity = BalancerIdentity {
+            node: NodeId(0x1_0000_0000_0000 + index as u64 * 0x1_0001_0001),
+            domain: self.domain(index),
+            control_address: address(process),
+            incarnation: Incarnation(1_790_000_000_000_000 + self.now.0),
+            seeds: self.seeds(),
+        };
+        let seed = self.random.next_u64();
+        let balancer = Balancer {
+            membership: BalancerMembership::new(identity.clone(), self.options.balancer, seed),
+            identity,
+            is_running: true,
+            paused_until: Time::ZERO,
+            table_changes: 0,
+            listed: false,
+            watched: ObjectVersion(0),
+        };
+        self.addresses.insert(address(process), process);
+        if index < self.balancers.len() {
+            self.balancers[index] = balancer;
+        } else {
+            self.balancers.push(balancer);
+        }
+    }
+
+    /// Starts or restarts an agent with empty memory.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the options contain an invalid name.
+    pub fn start_agent(&mut self, index: usize) {
+        let process = Process::Agent(index);
+        let service = index % self.options.services;
+        let entry = HostEntry {
+            host: HostId(u32::try_from(index).unwrap_or_default() * 7_919 + 1),
+            service: ServiceId(u32::try_from(service + 1).unwrap_or_default()),
+            domain: self.domain(index / self.options.services),
+            data_address: address(process),
+            control_address: address(process),
+            incarnation: Incarnation(1_790_000_000_000_000 + self.now.0),
+            state: HostState::Ready,
+            weight: Weight::STANDARD,
+        };
+        let name = format!("service-{service}").parse().expect("valid name");
+        let mut membership =
+            AgentMembership::new(name, entry.domain.clone(), index as u64, self.options.agent);
+        membership.set_contacts(self.seeds());
+        let agent = Agent {
+            membership,
+            entry,
+            is_running: true,
+            paused_until: Time::ZERO,
+        };
+        self.addresses.insert(address(process), process);
+        if index < self.agents.len() {
+            self.agents[index] = agent;
+        } else {
+            self.agents.push(agent);
+        }
+    }
+
+    /// Runs until a condition holds and returns the time that took; `None` at the limit.
+    pub fn run_until(&mut self, limit: Span, condition: impl Fn(&Self) -> bool) -> Option<Span> {
+        let start = self.now;
+        while self.now.since(start) < limit {
+            if condition(self) {
+                return Some(self.now.since(start));
+            }
+            self.step();
+        }
+        condition(self).then(|| self.now.since(start))
+    }
+
+    /// Runs for a time.
+    pub fn run(&mut self, span: Span) {
+        self.run_until(span, |_| false);
+    }
+
+    /// Advances the clock by one step.
+    pub fn step(&mut self) {
+        self.now = self.now + STEP;
+        self.steps += 1;
+        let rest = self.in_flight.split_off(&(self.now, u64::MAX));
+        for (_, datagram) in std::mem::replace(&mut self.in_flight, rest) {
+            self.deliver(datagram);
+        }
+        let phase = self.steps % STEPS_PER_TICK;
+        for index in 0..self.balancers.len() {
+            if index as u64 % STEPS_PER_TICK == phase && self.runs(Process::Balancer(index)) {
+                self.tick_balancer(index);
+            }
+        }
+        for index in 0..self.agents.len() {
+            if index as u64 % STEPS_PER_TICK == phase && self.runs(Process::Agent(index)) {
+                self.tick_agent(index);
+            }
+        }
+    }
+
+    /// Tells whether a process exists and is not paused.
+    #[must_use]
+    pub fn runs(&self, process: Process) -> bool {
+        match process {
+            Process::Balancer(index) => {
+                let balancer = &self.balancers[index];
+                balancer.is_running && self.now >= balancer.paused_until
+            }
+            Process::Agent(index) => {
+                let agent = &self.agents[index];
+                agent.is_running && self.now >= agent.paused_until
+            }
+        }
+    }
+
+    fn tick_balancer(&mut self, index: usize) {
+        let now = self.now;
+        self.read_store(index);
+        let balancer = &mut self.balancers[index];
+        balancer.membership.on_tick(now);
+        if let Some(peer) = balancer.membership.sync_wanted(now) {
+            self.synchronize(index, peer);
+        }
+        let balancer = &mut self.balancers[index];
+        balancer.table_changes += u32::from(balancer.membership.take_changed());
+        balancer.membership.take_changed_objects();
+        let outgoing = balancer.membership.take_outgoing(now);
+        self.send(Process::Balancer(index), outgoing);
+    }
+
+    /// Stands for the call over gRPC that copies everything newer from a peer.
+    fn synchronize(&mut self, index: usize, peer: SocketAddr) {
+        let Some(Process::Balancer(other)) = self.addresses.get(&peer).copied() else {
+            return;
+        };
+        let (own, other) = (Process::Balancer(index), Process::Balancer(other));
+        if !self.runs(other) || self.is_cut(own, other) {
+            return;
+        }
+        let Process::Balancer(other) = other else {
+            return;
+        };
+        let known = self.balancers[index].membership.knowledge().known_items();
+        let (objects, marks, hosts) = self.balancers[other].membership.sync_answer(&known);
+        let membership = &mut self.balancers[index].membership;
+        membership.on_sync(self.now, &objects, &marks, &hosts);
+    }
+
+    fn read_store(&mut self, index: usize) {
+        let everybody_reads = self.options.everybody_reads;
+        let balancer = &mut self.balancers[index];
+        if balancer.listed && !everybody_reads && !balancer.membership.is_reader() {
+            return;
+        }
+        let answer = if balancer.listed {
+            self.store.watch(self.now, index, balancer.watched)
+        } else {
+            self.store.list(self.now, index)
+        };
+        let Some(list) = answer else { return };
+        // A store that went back to lower versions is listed again.
+        let is_complete = !balancer.listed;
+        balancer.listed = list.version >= balancer.watched;
+        balancer.watched = list.version;
+        balancer.membership.on_store("", &list, is_complete);
+    }
+
+    fn tick_agent(&mut self, index: usize) {
+        let now = self.now;
+        let balancers = self.balancers.len();
+        let agent = &mut self.agents[index];
+        // An agent without contact lists the balancers of the store.
+        if !self.store.is_down && agent.membership.is_lonely(now) {
+            let registered = (0..balancers).map(|index| address(Process::Balancer(index)));
+            agent.membership.set_contacts(registered.collect());
+        }
+        if agent.membership.entry().is_none() && !agent.membership.take_changed_objects().is_empty()
+        {
+            agent.membership.join(now, agent.entry.clone());
+        }
+        let outgoing = agent.membership.on_tick(now);
+        self.send(Process::Agent(index), outgoing);
+    }
+
+    fn sender(&self, process: Process) -> u64 {
+        match process {
+            Process::Balancer(index) => self.balancers[index].identity.node.0,
+            Process::Agent(index) => u64::from(self.agents[index].entry.host.0),
+        }
+    }
+
+    fn wire_bytes(&self, from: Process, message: &Message) -> u64 {
+        let origin = Origin {
+            sender: self.sender(from),
+            incarnation: Incarnation(1_790_000_000_000_000),
+            sequence: 1 << 20,
+        };
+        wire_bytes(&origin, message)
+    }
+
+    fn send(&mut self, from: Process, outgoing: Vec<Outgoing>) {
+        for Outgoing { to, message } in outgoing {
+            let bytes = self.wire_bytes(from, &message);
+            self.traffic.entry(from).or_default().sent += bytes;
+            let Some(to) = self.addresses.get(&to).copied() else {
+                continue;
+            };
+            let copies = 1 + u64::from(self.chance(self.options.network.duplicate_ppm));
+            for _ in 0..copies {
+                if self.is_cut(from, to) || self.chance(self.options.network.loss_ppm) {
+                    continue;
+                }
+                let network = self.options.network;
+                let range = network.max_delay_us - network.min_delay_us + 1;
+                let delay = network.min_delay_us + self.random.next_u64() % range;
+                self.datagrams += 1;
+                let key = (self.now + Span::from_micros(delay), self.datagrams);
+                let message = message.clone();
+                self.in_flight.insert(key, Datagram { to, from, message });
+            }
+        }
+    }
+
+    fn chance(&mut self, ppm: u64) -> bool {
+        ppm > 0 && self.random.next_u64() % 1_000_000 < ppm
+    }
+
+    fn region(&self, process: Process) -> &'static str {
+        let domain = match process {
+            Process::Balancer(index) => index,
+            Process::Agent(index) => index / self.options.services,
+        };
+        self.options.domains[domain % self.options.domains.len()].1
+    }
+
+    fn is_cut(&self, one: Process, other: Process) -> bool {
+        let regions = (self.region(one), self.region(other));
+        let is_between_regions = regions.0 != regions.1
+            && (self.cut_regions.contains(regions.0) || self.cut_regions.contains(regions.1));
+        is_between_regions
+            || self.cut_pairs.contains(&(one, other))
+            || self.cut_pairs.contains(&(other, one))
+    }
+
+    fn deliver(&mut self, datagram: Datagram) {
+        let Datagram { to, from, message } = datagram;
+        if !self.runs(to) {
+            return;
+        }
+        let bytes = self.wire_bytes(from, &message);
+        self.traffic.entry(to).or_default().received += bytes;
+        let sender = self.sender(from);
+        let now = self.now;
+        match to {
+            Process::Balancer(index) => {
+                let membership = &mut self.balancers[index].membership;
+                membership.on_message(now, address(from), Sender::from(sender), message);
+                let outgoing = membership.take_outgoing(now);
+                self.send(to, outgoing);
+            }
+            Process::Agent(index) => {
+                let membership = &mut self.agents[index].membership;
+                let outgoing = membership.on_message(now, address(from), &message);
+                self.send(to, outgoing);
+            }
+        }
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod backend;
 pub mod caller;
+pub mod control_plane;
 pub mod demo;
 pub mod fabric;
 pub mod fleet;
--- a/crates/state/src/hosts/mod.rs
+++ b/crates/state/src/hosts/mod.rs
@@ -2,11 +2,11 @@
 
 use {
     cardamomloom_core::{
-        HostId, ServiceId,
+        DomainName, HostId, ServiceId,
         error::{Error, ErrorKind},
     },
     cardamomloom_protocol::control::{HostEntry, HostState},
-    std::collections::BTreeMap,
+    std::collections::{BTreeMap, BTreeSet},
 };
 
 /// Result of a change to the host table.
@@ -19,6 +19,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct HostTable {
     entries: BTreeMap<HostId, HostEntry>,
+    /// Failure domains that are lost; their entries stay, so that their return is one change.
+    lost_domains: BTreeSet<DomainName>,
 }
 
 impl HostTable {
@@ -61,10 +63,33 @@
         self.entries.values()
     }
 
-    /// Returns the entries of a service that are not gone, in id order.
+    /// Returns the entries of a service that are not gone and whose failure domain is not lost, in
+    /// id order.
     pub fn of_service(&self, service: ServiceId) -> impl Iterator<Item = &HostEntry> {
         self.iter()
             .filter(move |entry| entry.service == service && entry.state != HostState::Gone)
+            .filter(|entry| !self.lost_domains.contains(&entry.domain))
+    }
+
+    /// Sets whether a failure domain is lost, and tells whether that is a change.
+    pub fn set_lost(&mut self, domain: &DomainName, is_lost: bool) -> bool {
+        if is_lost {
+            self.lost_domains.insert(domain.clone())
+        } else {
+            self.lost_domains.remove(domain)
+        }
+    }
+
+    /// Returns the lost failure domains in name order.
+    pub fn lost_domains(&self) -> impl Iterator<Item = &DomainName> {
+        self.lost_domains.iter()
+    }
+
+    /// Changes the state of an entry without a new incarnation, for a local view only.
+    pub fn override_state(&mut self, host: HostId, state: HostState) {
+        if let Some(entry) = self.entries.get_mut(&host) {
+            entry.state = state;
+        }
     }
 
     /// Returns the number of entries.
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod server_load;
 pub mod store;
 pub mod streams;
+pub mod sync;
 pub mod tls;
 pub mod udp;
