daemon: catch-up between balancers under TLS with mutual authentication

Cause: the gRPC catch-up was served and taken over plain TCP, so any process on the network could read or offer hosts and objects.

Measured: verify_catch_up_is_between_balancers_only: a balancer gets all items, an agent's certificate and a plain connection are refused. Without the setting everything is as before.

--- a/crates/daemon/src/balancer/control.rs
+++ b/crates/daemon/src/balancer/control.rs
@@ -18,7 +18,7 @@
         catalogue::{Applied, Catalogue},
         routing::RoutingTable,
     },
-    cardamomloom_transport::{clock::MonotonicClock, sync},
+    cardamomloom_transport::{clock::MonotonicClock, sync, tls::TlsContext},
     log::{info, warn},
     serde_json::json,
     stakker::{CX, after},
@@ -58,6 +58,8 @@
     pub lease: Lease,
     /// Asks which versions are current.
     pub confirmer: Confirmer,
+    /// Certificates and keys for catch-ups.
+    pub tls: Option<Arc<TlsContext>>,
     /// Time from the stop request to the end of forwarding.
     pub linger: Span,
 }
@@ -169,9 +171,9 @@
         };
         self.is_syncing = true;
         let known = self.membership.knowledge().known_items();
-        let events = self.options.events.clone();
+        let (events, tls) = (self.options.events.clone(), self.options.tls.clone());
         self.options.runtime.spawn(async move {
-            let outcome = sync::pull(peer, known).await;
+            let outcome = sync::pull(peer, known, tls).await;
             // The control thread is gone only when the process stops.
             let _ = events.send(Event::Synced(outcome));
         });
--- a/crates/daemon/src/balancer/mod.rs
+++ b/crates/daemon/src/balancer/mod.rs
@@ -85,7 +85,7 @@
     let source = Arc::new(EventSyncSource(shell.event_sender.clone()));
     shell
         .runtime
-        .spawn(sync::serve(shell.sync_listener, source));
+        .spawn(sync::serve(shell.sync_listener, source, shell.tls.clone()));
 
     let options = ControlOptions {
         identity: BalancerIdentity {
@@ -96,6 +96,7 @@
             seeds: settings.seeds.clone(),
         },
         store_use,
+        tls: shell.tls.clone(),
         runtime: shell.runtime.handle().clone(),
         events: shell.event_sender.clone(),
         clock: shell.clock,
--- a/crates/daemon/src/runtime/mod.rs
+++ b/crates/daemon/src/runtime/mod.rs
@@ -26,9 +26,10 @@
         clock::MonotonicClock,
         http,
         store::{StoreClient, StoreOptions},
+        tls::{TlsContext, TlsFiles},
         udp,
     },
-    log::info,
+    log::{info, warn},
     metrics_exporter_prometheus::PrometheusBuilder,
     signal_hook::{
         consts::{SIGINT, SIGTERM},
@@ -42,7 +43,7 @@
             mpsc::{Receiver, SyncSender, sync_channel},
         },
         thread,
-        time::{SystemTime, UNIX_EPOCH},
+        time::{Duration, SystemTime, UNIX_EPOCH},
     },
     tokio::{net::TcpListener, runtime::Runtime},
 };
@@ -50,6 +51,9 @@
 /// Result of running a daemon.
 pub type Result<T> = std::result::Result<T, Error>;
 
+/// Time between two looks at the files of certificates and keys.
+const TLS_RELOAD_INTERVAL: Duration = Duration::from_secs(5);
+
 /// What every role needs to run.
 pub struct Shell {
     /// Clock of the process.
@@ -64,6 +68,8 @@
     pub http_address: SocketAddr,
     /// Listener for catch-ups over gRPC, on the port of the control socket.
     pub sync_listener: TcpListener,
+    /// Certificates and keys, if the settings name them.
+    pub tls: Option<Arc<TlsContext>>,
     /// Sender on the control socket.
     pub control: ControlSender,
     /// Events for the control thread.
@@ -102,6 +108,7 @@
 impl Shell {
     fn start(settings: &Settings) -> Result<Self> {
         let clock = MonotonicClock::start();
+        let tls = load_tls(settings)?;
         let metrics = PrometheusBuilder::new()
             .install_recorder()
             .map_err(|error| io(format!("metrics: {error}")))?;
@@ -142,6 +149,9 @@
             std::future::pending(),
         ));
         runtime.spawn(sample_burn(inspect.clone()));
+        if let Some(tls) = &tls {
+            runtime.spawn(reload_tls(tls.clone()));
+        }
         let store = StoreClient::new(&settings.store_url, StoreOptions::default())?;
         info!(
             event = "bound",
@@ -157,6 +167,7 @@
             control_address,
             http_address,
             sync_listener,
+            tls,
             control: ControlSender::new(control_socket, key, sender, incarnation),
             events,
             event_sender,
@@ -169,6 +180,31 @@
     }
 }
 
+fn load_tls(settings: &Settings) -> Result<Option<Arc<TlsContext>>> {
+    let Some(files) = &settings.tls else {
+        return Ok(None);
+    };
+    let context = TlsContext::load(TlsFiles {
+        authorities: files.authorities.clone(),
+        certificate: files.certificate.clone(),
+        key: files.key.clone(),
+    })?;
+    Ok(Some(Arc::new(context)))
+}
+
+/// Reads certificates and keys again until the process ends.
+async fn reload_tls(tls: Arc<TlsContext>) {
+    let mut interval = tokio::time::interval(TLS_RELOAD_INTERVAL);
+    loop {
+        interval.tick().await;
+        match tls.reload() {
+            Ok(true) => info!(event = "certificates_reloaded"; "new certificates are in use"),
+            Ok(false) => {}
+            Err(error) => warn!(event = "certificates_rejected"; "{error}"),
+        }
+    }
+}
+
 /// Samples the connection totals until the process ends.
 async fn sample_burn(inspect: Arc<DaemonInspect>) {
     let mut interval = tokio::time::interval(SAMPLE_INTERVAL.to_duration());
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -33,6 +33,9 @@
     pub seeds: Vec<SocketAddr>,
     /// Key of the datagrams between processes, 32 hexadecimal digits.
     pub datagram_key: Arc<str>,
+    /// Files for TLS between processes; without them connections are not encrypted.
+    #[serde(default)]
+    pub tls: Option<TlsSettings>,
     /// Lowest level that is logged.
     #[serde(default)]
     pub log_level: LogLevel,
@@ -40,6 +43,18 @@
     pub role: Role,
 }
 
+/// Files in PEM format; they are read again every few seconds.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TlsSettings {
+    /// Certificates of the authorities of the installation.
+    pub authorities: Arc<Path>,
+    /// Certificate chain of the process.
+    pub certificate: Arc<Path>,
+    /// Private key of the process.
+    pub key: Arc<Path>,
+}
+
 /// What the process does.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(rename_all = "lowercase", deny_unknown_fields)]
--- a/crates/transport/src/sync/mod.rs
+++ b/crates/transport/src/sync/mod.rs
@@ -1,6 +1,9 @@
 //! Server and client of the bulk catch-up over gRPC.
 
+mod secured;
+
 use {
+    crate::tls::TlsContext,
     cardamomloom_core::error::{Error, ErrorKind},
     cardamomloom_protocol::{
         control::Kind,
@@ -62,32 +65,50 @@
     }
 }
 
-/// Serves catch-ups until the listener fails.
+/// Serves catch-ups until the listener fails; with `tls`, only to balancers of the installation.
 ///
 /// # Errors
 ///
 /// Fails with kind `io` when the listener fails.
-pub async fn serve(listener: TcpListener, source: Arc<dyn SyncSource>) -> Result<()> {
+pub async fn serve(
+    listener: TcpListener,
+    source: Arc<dyn SyncSource>,
+    tls: Option<Arc<TlsContext>>,
+) -> Result<()> {
     let service = SyncServer::new(Service(source))
         .max_decoding_message_size(MAX_MESSAGE_BYTES)
         .max_encoding_message_size(MAX_MESSAGE_BYTES);
-    Server::builder()
+    let router = Server::builder()
         .timeout(CALL_TIMEOUT)
         .concurrency_limit_per_connection(CALLS_PER_CONNECTION)
-        .add_service(service)
-        .serve_with_incoming(TcpIncoming::from(listener))
-        .await
-        .map_err(|error| Error::new(ErrorKind::Io, format!("sync: {error}")))
+        .add_service(service);
+    let served = match tls {
+        None => {
+            router
+                .serve_with_incoming(TcpIncoming::from(listener))
+                .await
+        }
+        Some(tls) => {
+            let incoming = secured::incoming(listener, tls);
+            router.serve_with_incoming(incoming).await
+        }
+    };
+    served.map_err(|error| Error::new(ErrorKind::Io, format!("sync: {error}")))
 }
 
-/// Asks a balancer for everything that it knows beyond some items.
+/// Asks a balancer for everything that it knows beyond some items; with `tls`, over a connection
+/// on which both sides prove that they are balancers of the installation.
 ///
 /// # Errors
 ///
 /// Fails with kind `io` when the balancer does not answer, `timeout` when it takes too long,
 /// `malformed` when an item cannot be decoded, and `limit_exceeded` when there are too many.
-pub async fn pull(peer: SocketAddr, known: Known) -> Result<SyncedItems> {
-    time::timeout(CALL_TIMEOUT, pull_all(peer, known))
+pub async fn pull(
+    peer: SocketAddr,
+    known: Known,
+    tls: Option<Arc<TlsContext>>,
+) -> Result<SyncedItems> {
+    time::timeout(CALL_TIMEOUT, pull_all(peer, known, tls))
         .await
         .map_err(|_| {
             Error::new(
@@ -97,14 +118,23 @@
         })?
 }
 
-async fn pull_all(peer: SocketAddr, known: Known) -> Result<SyncedItems> {
+async fn pull_all(
+    peer: SocketAddr,
+    known: Known,
+    tls: Option<Arc<TlsContext>>,
+) -> Result<SyncedItems> {
     let failed =
         |error: &dyn std::fmt::Display| Error::new(ErrorKind::Io, format!("sync: {peer}: {error}"));
-    let channel: Channel = Endpoint::from_shared(format!("http://{peer}"))
-        .map_err(|error| failed(&error))?
-        .connect()
-        .await
-        .map_err(|error| failed(&error))?;
+    let endpoint =
+        Endpoint::from_shared(format!("http://{peer}")).map_err(|error| failed(&error))?;
+    let connected: std::result::Result<Channel, _> = match tls {
+        None => endpoint.connect().await,
+        Some(tls) => {
+            let connector = secured::connector(peer, tls);
+            endpoint.connect_with_connector(connector).await
+        }
+    };
+    let channel = connected.map_err(|error| failed(&error))?;
     let mut client = SyncClient::new(channel).max_decoding_message_size(MAX_MESSAGE_BYTES);
     let mut answers = client
         .pull(sync::request(&known))
--- a/crates/transport/tests/sync.rs
+++ b/crates/transport/tests/sync.rs
@@ -1,5 +1,7 @@
 //! Bulk catch-up over gRPC on loopback.
 
+mod common;
+
 use {
     cardamomloom_core::{
         DomainName, ErrorKind, HostId, Incarnation, ObjectVersion, ServiceId, Weight,
@@ -9,7 +11,11 @@
         store_api::Object,
         sync::SyncedItems,
     },
-    cardamomloom_transport::sync::{Known, SyncSource, pull, serve},
+    cardamomloom_transport::{
+        sync::{Known, SyncSource, pull, serve},
+        tls::PeerRole,
+    },
+    common::{Folder, authority, context, files},
     std::{net::SocketAddr, str::FromStr, sync::Arc},
     tokio::{net::TcpListener, runtime::Builder, sync::oneshot},
 };
@@ -66,11 +72,11 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
         let expected = items(4_300);
-        tokio::spawn(serve(listener, Arc::new(Source(expected.clone()))));
-        let received = pull(address, Vec::new()).await.expect("an answer");
+        tokio::spawn(serve(listener, Arc::new(Source(expected.clone())), None));
+        let received = pull(address, Vec::new(), None).await.expect("an answer");
         assert_eq!(received, expected);
         let known = vec![(Kind::Host, 7, 9)];
-        let received = pull(address, known).await.expect("an answer");
+        let received = pull(address, known, None).await.expect("an answer");
         assert_eq!(received, SyncedItems::default());
     });
 }
@@ -83,7 +89,30 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
         drop(listener);
-        let error = pull(address, Vec::new()).await.expect_err("nobody listens");
+        let error = pull(address, Vec::new(), None)
+            .await
+            .expect_err("nobody listens");
         assert_eq!(error.kind, ErrorKind::Io);
     });
 }
+
+/// Guards against hosts and objects that go to a process of another role, or come from one that
+/// does not prove its identity.
+#[tokio::test]
+async fn verify_catch_up_is_between_balancers_only() {
+    let (folder, other) = (Folder::new(), Folder::new());
+    let own = authority();
+    let balancer = Arc::new(context(files(&folder.0, PeerRole::Balancer, &own, &own)));
+    let agent = Arc::new(context(files(&other.0, PeerRole::Agent, &own, &own)));
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let expected = items(3);
+    let source = Arc::new(Source(expected.clone()));
+    tokio::spawn(serve(listener, source, Some(balancer.clone())));
+    let received = pull(address, Vec::new(), Some(balancer)).await;
+    assert_eq!(received, Ok(expected));
+    let refused = pull(address, Vec::new(), Some(agent)).await;
+    assert!(refused.is_err(), "an agent is not a balancer");
+    let plain = pull(address, Vec::new(), None).await;
+    assert!(plain.is_err(), "a peer without a certificate is refused");
+}
--- a/crates/transport/tests/tls.rs
+++ b/crates/transport/tests/tls.rs
@@ -1,66 +1,15 @@
 //! Mutual authentication between processes: identity, role and reload.
 
+mod common;
+
 use {
     cardamomloom_core::ErrorKind,
-    cardamomloom_transport::tls::{PeerRole, TlsContext, TlsFiles},
-    rcgen::{BasicConstraints, CertificateParams, CertifiedIssuer, IsCa, KeyPair},
-    std::{
-        env, fs,
-        path::{Path, PathBuf},
-        sync::{
-            Arc,
-            atomic::{AtomicU32, Ordering},
-        },
-    },
+    cardamomloom_transport::tls::{PeerRole, TlsContext},
+    common::{Folder, authority, context, files},
+    std::fs,
     tokio::net::{TcpListener, TcpStream},
 };
 
-type Authority = CertifiedIssuer<'static, KeyPair>;
-
-static FOLDERS: AtomicU32 = AtomicU32::new(0);
-
-struct Folder(PathBuf);
-
-impl Folder {
-    fn new() -> Self {
-        let number = FOLDERS.fetch_add(1, Ordering::Relaxed);
-        let path =
-            env::temp_dir().join(format!("cardamomloom-tls-{}-{number}", std::process::id()));
-        fs::create_dir_all(&path).expect("the temporary folder is writable");
-        Self(path)
-    }
-}
-
-impl Drop for Folder {
-    fn drop(&mut self) {
-        let _ = fs::remove_dir_all(&self.0);
-    }
-}
-
-fn authority() -> Authority {
-    let mut params = CertificateParams::new(Vec::new()).expect("valid parameters");
-    params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
-    let key = KeyPair::generate().expect("a key");
-    CertifiedIssuer::self_signed(params, key).expect("a certificate")
-}
-
-/// Writes the files of a process whose certificate `signer` signs and that trusts `trusted`.
-fn files(folder: &Path, role: PeerRole, signer: &Authority, trusted: &Authority) -> TlsFiles {
-    let params = CertificateParams::new(vec![role.dns_name().to_owned()]).expect("a valid name");
-    let key = KeyPair::generate().expect("a key");
-    let certificate = params.signed_by(&key, signer).expect("a certificate");
-    let write = |name: &str, text: String| -> Arc<Path> {
-        let path = folder.join(format!("{role}-{name}.pem"));
-        fs::write(&path, text).expect("the folder is writable");
-        Arc::from(path)
-    };
-    TlsFiles {
-        authorities: write("authorities", trusted.pem()),
-        certificate: write("certificate", certificate.pem()),
-        key: write("key", key.serialize_pem()),
-    }
-}
-
 /// Connects `client` to `server` and returns what the server saw.
 async fn handshake(
     server: &TlsContext,
@@ -83,10 +32,6 @@
     Ok(())
 }
 
-fn context(files: TlsFiles) -> TlsContext {
-    TlsContext::load(files).expect("valid files")
-}
-
 /// Guards against a process of another installation being accepted.
 #[tokio::test]
 async fn verify_peer_of_another_authority_is_refused() {
