daemon: rebuild the routing table once per tick for changes in datagrams

Cause: a balancer rebuilt its tables after every datagram that changed membership. At 4,300 hosts a rebuild takes 1.1 to 1.4 ms (cardamomloom-bench table), so about 700 changes/s would fill a core.

Change: changes in datagrams wait for the next tick of 50 ms, which bounds the cost to 20 rebuilds/s; answers of the store and catch-ups still rebuild at once, because a confirmation says that their objects are in force.

The cost under a storm of changes was not measured, only computed from the rebuild time.

--- a/crates/daemon/src/balancer/control.rs
+++ b/crates/daemon/src/balancer/control.rs
@@ -74,6 +74,8 @@
     listed: BTreeSet<&'static str>,
     is_informed: bool,
     is_syncing: bool,
+    /// Whether the routing table lacks changes of the catalogue or of hosts.
+    is_outdated: bool,
     stopping: bool,
 }
 
@@ -99,6 +101,7 @@
             listed: BTreeSet::new(),
             is_informed: false,
             is_syncing: false,
+            is_outdated: false,
             stopping: false,
         })
     }
@@ -147,6 +150,7 @@
         self.gate.on_step(now);
         self.membership.on_tick(now);
         self.take_results();
+        self.rebuild_if_outdated();
         self.catch_up();
         self.choose_store_use();
         self.update_ready();
@@ -160,6 +164,8 @@
         self.membership
             .on_store(answer.prefix, &answer.list, answer.is_complete);
         self.take_results();
+        // A confirmation of the store may follow, which says that its objects are in force.
+        self.rebuild_if_outdated();
         self.update_ready();
     }
 
@@ -188,6 +194,7 @@
                 self.membership
                     .on_sync(now, &items.objects, &items.marks, &items.hosts);
                 self.take_results();
+                self.rebuild_if_outdated();
             }
             Err(error) => warn!(event = "sync_failed"; "{error}"),
         }
@@ -197,7 +204,7 @@
     fn take_results(&mut self) {
         let objects = self.membership.take_changed_objects();
         self.on_objects(&objects);
-        self.rebuild_if_changed();
+        self.is_outdated |= self.membership.take_changed();
         for outgoing in self.membership.take_outgoing(self.options.clock.now()) {
             self.options.sender.send(outgoing.to, &outgoing.message);
         }
@@ -236,18 +243,16 @@
         }
         metrics::gauge!("cardamomloom_objects_invalid")
             .set(self.catalogue.rejected().count() as f64);
-        if changed {
-            self.rebuild();
-        }
+        self.is_outdated |= changed;
     }
 
-    fn rebuild_if_changed(&mut self) {
-        if self.membership.take_changed() {
-            self.rebuild();
+    /// Brings the routing table up to date. Changes that arrive in datagrams wait for the next
+    /// tick: a rebuild takes more than 1 ms at the design size, so that one for each datagram
+    /// could fill a core while many hosts change.
+    fn rebuild_if_outdated(&mut self) {
+        if !std::mem::take(&mut self.is_outdated) {
+            return;
         }
-    }
-
-    fn rebuild(&mut self) {
         let present = self.options.routing.load_full();
         match present.rebuild(&self.catalogue, &self.membership.reachable_hosts()) {
             Ok(next) => {
