standins: drive cold backend servers through real processes

Change: cold_servers.rs covers a surge onto cold servers, a server that resets its connections and is cold again, false and lagging /load reports, and a host that joins during a surge. The installation sets the behaviour and reads the counts of backend servers, and starts with a changed catalogue; servers count the reads of their load. end_to_end.rs and the new file share the lock and the folder in tests/common.

--- a/crates/standins/src/backend/behaviour.rs
+++ b/crates/standins/src/backend/behaviour.rs
@@ -92,6 +92,9 @@
     pub overloads: u64,
     /// Requests that were refused as "not run".
     pub shed: u64,
+    /// Times that the load was read.
+    #[serde(default)]
+    pub load_reads: u64,
 }
 
 impl ServerState {
@@ -151,6 +154,7 @@
 
     /// Returns what the server says of its load.
     pub fn load(&mut self, now: Instant) -> LoadReport {
+        self.counts.load_reads += 1;
         let open = u64::from(self.open);
         let ppm = open * 1_000_000 / u64::from(self.bears(now)).max(1);
         let truth = LoadReport {
--- a/crates/standins/src/demo/installation.rs
+++ b/crates/standins/src/demo/installation.rs
@@ -15,7 +15,6 @@
     serde::Serialize,
     serde_json::{Value, json},
     std::{
-        collections::BTreeMap,
         fs,
         io::Error,
         net::SocketAddr,
@@ -68,11 +67,11 @@
     pub control_address: SocketAddr,
 }
 
-struct Host {
+pub(super) struct Host {
     agent: MemberProcess,
     _backend: Process,
     /// Control listener of the backend server.
-    backend_address: SocketAddr,
+    pub(super) backend_address: SocketAddr,
 }
 
 /// The running processes; all are killed when the value is dropped.
@@ -88,7 +87,7 @@
     fabric_egress: SocketAddr,
     fabric_control: SocketAddr,
     balancers: Vec<MemberProcess>,
-    hosts: Vec<Vec<Host>>,
+    pub(super) hosts: Vec<Vec<Host>>,
     started_callers: u32,
     settings_written: u32,
 }
@@ -100,6 +99,21 @@
     ///
     /// Fails when a process cannot be started or does not become ready.
     pub fn start(customer: Customer, folder: &Path) -> Result<Self> {
+        let catalogue = customer.catalogue().map_err(Error::other)?;
+        Self::start_with(customer, folder, catalogue)
+    }
+
+    /// Starts everything with the given keys and values of the catalogue, which must have the
+    /// customer's services and failure domains.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a process cannot be started or does not become ready.
+    pub fn start_with(
+        customer: Customer,
+        folder: &Path,
+        catalogue: Vec<(String, Value)>,
+    ) -> Result<Self> {
         fs::create_dir_all(folder)?;
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_all()
@@ -124,7 +138,7 @@
             started_callers: 0,
             settings_written: 0,
         };
-        installation.write_catalogue()?;
+        installation.write_catalogue(catalogue)?;
         for domain in customer.domains() {
             let balancer = installation.start_balancer(domain)?;
             installation.balancers.push(balancer);
@@ -175,10 +189,10 @@
             .ok_or_else(|| Error::other(format!("no host {host} of service {service}")))
     }
 
-    fn write_catalogue(&self) -> Result<()> {
+    fn write_catalogue(&self, catalogue: Vec<(String, Value)>) -> Result<()> {
         let store =
             StoreClient::new(&self.store_url, StoreOptions::default()).map_err(Error::other)?;
-        for (key, value) in self.customer.catalogue().map_err(Error::other)? {
+        for (key, value) in catalogue {
             self.runtime
                 .block_on(store.put(&key, ObjectVersion(0), &value))
                 .map_err(Error::other)?;
@@ -388,19 +402,16 @@
             .sum())
     }
 
-    /// Returns how many requests the backend server of a host ran.
-    ///
-    /// # Errors
-    ///
-    /// Fails when there is none with these indexes, or it does not answer.
-    pub fn executed(&self, service: usize, host: usize) -> Result<u64> {
-        let address = self.hosts[service][host].backend_address;
-        let counts: BTreeMap<String, u64> = self.get_json(&format!("http://{address}/executed"))?;
-        Ok(counts.values().sum())
+    pub(super) fn put_json<T: Serialize>(&self, url: &str, body: &T) -> Result<()> {
+        let request = self.http.put(url).json(body);
+        self.runtime
+            .block_on(async { request.send().await?.error_for_status() })
+            .map_err(Error::other)?;
+        Ok(())
     }
 
-    fn put_json<T: Serialize>(&self, url: &str, body: &T) -> Result<()> {
-        let request = self.http.put(url).json(body);
+    pub(super) fn post(&self, url: &str) -> Result<()> {
+        let request = self.http.post(url);
         self.runtime
             .block_on(async { request.send().await?.error_for_status() })
             .map_err(Error::other)?;
@@ -430,7 +441,7 @@
         })
     }
 
-    fn get_json<T: serde::de::DeserializeOwned>(&self, url: &str) -> Result<T> {
+    pub(super) fn get_json<T: serde::de::DeserializeOwned>(&self, url: &str) -> Result<T> {
         let request = self.http.get(url);
         self.runtime
             .block_on(async { request.send().await?.json().await })
@@ -477,21 +488,4 @@
         ];
         Process::start("callers", "standin-caller", arguments)
     }
-
-    /// Returns how many requests ran more than once, over all backend servers.
-    ///
-    /// # Errors
-    ///
-    /// Fails when a backend server does not answer.
-    pub fn duplicated(&self) -> Result<u64> {
-        let mut executed: BTreeMap<String, u64> = BTreeMap::new();
-        for host in self.hosts.iter().flatten() {
-            let url = format!("http://{}/executed", host.backend_address);
-            let counts: BTreeMap<String, u64> = self.get_json(&url)?;
-            for (request, count) in counts {
-                *executed.entry(request).or_default() += count;
-            }
-        }
-        Ok(executed.values().filter(|count| **count > 1).count() as u64)
-    }
 }
--- a/crates/standins/src/demo/mod.rs
+++ b/crates/standins/src/demo/mod.rs
@@ -2,6 +2,7 @@
 
 mod customers;
 mod installation;
+mod servers;
 
 pub use {
     customers::{Customer, ServicePlan},
@@ -9,7 +10,7 @@
 };
 
 use {
-    crate::caller::CallerSummary,
+    crate::{caller::CallerSummary, processes::Process},
     nix::sys::signal::Signal,
     std::{
         io::{Error, Result as IoResult},
@@ -78,18 +79,30 @@
     thread::sleep(Duration::from_millis(load.open_over_ms / 2));
     disturb(&mut installation)?;
 
-    let mut outcome = Outcome::default();
+    let callers = collect(callers)?;
+    let duplicated = installation.duplicated()?;
+    Ok(Outcome {
+        callers,
+        duplicated,
+    })
+}
+
+/// Waits for caller processes and adds up what they saw.
+///
+/// # Errors
+///
+/// Fails when a process does not end or prints no summary.
+pub fn collect(callers: impl IntoIterator<Item = Process>) -> Result<CallerSummary> {
+    let mut total = CallerSummary::default();
     for mut caller in callers {
         caller.wait(CALLER_TIMEOUT)?;
         let line = caller
             .printed()
             .pop()
             .ok_or_else(|| Error::other("callers printed no summary"))?;
-        let summary: CallerSummary = serde_json::from_str(&line)?;
-        add(&mut outcome.callers, &summary);
+        add(&mut total, &serde_json::from_str(&line)?);
     }
-    outcome.duplicated = installation.duplicated()?;
-    Ok(outcome)
+    Ok(total)
 }
 
 fn add(total: &mut CallerSummary, summary: &CallerSummary) {
--- a/crates/standins/tests/end_to_end.rs
+++ b/crates/standins/tests/end_to_end.rs
@@ -2,6 +2,8 @@
 //!
 //! Each test starts about 25 processes, so the tests run one after another.
 
+mod common;
+
 use {
     cardamomloom_standins::{
         demo::{Customer, Installation, Load, Outcome, run_with},
@@ -10,27 +12,17 @@
     },
     nix::sys::signal::Signal,
     std::{
-        env, fs,
         io::{Error, Result},
         net::{TcpStream, UdpSocket},
-        sync::{Mutex, MutexGuard, PoisonError},
         thread,
         time::{Duration, Instant},
     },
 };
 
-static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
-
-fn exclusive() -> MutexGuard<'static, ()> {
-    ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 fn run(name: &str, load: &Load, disturb: impl FnOnce(&mut Installation) -> Result<()>) -> Outcome {
-    let _exclusive = exclusive();
-    let folder = env::temp_dir().join(format!("cardamomloom-{name}-{}", std::process::id()));
-    let outcome = run_with(Customer::Derwent, &folder, load, disturb);
-    let _ = fs::remove_dir_all(&folder);
-    outcome.expect("all processes start and end")
+    common::exclusive(name, |folder| {
+        run_with(Customer::Derwent, folder, load, disturb)
+    })
 }
 
 /// Guards against flows that depend on one balancer: a killed one must not break any.
