--- a/crates/standins/src/bin/cardamomloom_demo.rs
+++ b/crates/standins/src/bin/cardamomloom_demo.rs
@@ -11,12 +11,18 @@
 struct Arguments {
     #[options(help = "print this help")]
     help: bool,
+    #[options(no_short, help = "print the version")]
+    version: bool,
     #[options(free, help = "derwent (default) or lenas")]
     customer: Option<Customer>,
 }
 
 fn main() -> ExitCode {
     let arguments = Arguments::parse_args_default_or_exit();
+    if arguments.version {
+        println!("cardamomloom-demo {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
     let customer = arguments.customer.unwrap_or(Customer::Derwent);
     let folder = env::temp_dir().join(format!("cardamomloom-demo-{}", std::process::id()));
     let outcome = run(customer, &folder);
--- a/crates/standins/src/bin/standin_caller.rs
+++ b/crates/standins/src/bin/standin_caller.rs
@@ -15,12 +15,14 @@
 struct Arguments {
     #[options(help = "print this help")]
     help: bool,
-    #[options(help = "ingress of the fabric", required)]
+    #[options(no_short, help = "print the version")]
+    version: bool,
+    #[options(help = "ingress of the fabric, required")]
     fabric: Option<SocketAddr>,
-    #[options(help = "address and port of the service", required)]
+    #[options(help = "address and port of the service, required")]
     target: Option<SocketAddr>,
-    #[options(help = "name of the service", required)]
-    service: String,
+    #[options(help = "name of the service, required")]
+    service: Option<String>,
     #[options(no_short, help = "number of flows", default = "100")]
     flows: usize,
     #[options(no_short, help = "time over which flows are opened", default = "2000")]
@@ -47,12 +49,16 @@
 
 fn main() -> Result<()> {
     let arguments = Arguments::parse_args_default_or_exit();
+    if arguments.version {
+        println!("standin-caller {}", env!("CARGO_PKG_VERSION"));
+        return Ok(());
+    }
     let first_address: Ipv4Addr = arguments.address.parse().map_err(Error::other)?;
-    let required = || Error::other("--fabric and --target are required");
+    let required = || Error::other("--fabric, --target and --service are required");
     let summary = run(&CallerOptions {
         fabric: arguments.fabric.ok_or_else(required)?,
         target: arguments.target.ok_or_else(required)?,
-        service: Arc::from(arguments.service),
+        service: Arc::from(arguments.service.ok_or_else(required)?),
         flows: arguments.flows,
         open_over_ms: arguments.open_over_ms,
         requests_per_flow: arguments.requests,
--- a/crates/standins/src/bin/standin_fabric.rs
+++ b/crates/standins/src/bin/standin_fabric.rs
@@ -15,6 +15,8 @@
 struct Arguments {
     #[options(help = "print this help")]
     help: bool,
+    #[options(no_short, help = "print the version")]
+    version: bool,
     #[options(help = "seed of the spraying", default = "1")]
     seed: u64,
 }
@@ -22,6 +24,10 @@
 #[tokio::main(flavor = "current_thread")]
 async fn main() -> Result<()> {
     let arguments = Arguments::parse_args_default_or_exit();
+    if arguments.version {
+        println!("standin-fabric {}", env!("CARGO_PKG_VERSION"));
+        return Ok(());
+    }
     let sockets = FabricSockets {
         ingress: UdpSocket::bind("127.0.0.1:0").await?,
         egress: UdpSocket::bind("127.0.0.1:0").await?,
--- a/crates/standins/src/bin/standin_store.rs
+++ b/crates/standins/src/bin/standin_store.rs
@@ -12,6 +12,8 @@
 struct Arguments {
     #[options(help = "print this help")]
     help: bool,
+    #[options(no_short, help = "print the version")]
+    version: bool,
     #[options(help = "address to listen on", default = "127.0.0.1:0")]
     listen: String,
 }
@@ -19,6 +21,10 @@
 #[tokio::main(flavor = "current_thread")]
 async fn main() -> Result<()> {
     let arguments = Arguments::parse_args_default_or_exit();
+    if arguments.version {
+        println!("standin-store {}", env!("CARGO_PKG_VERSION"));
+        return Ok(());
+    }
     let listener = TcpListener::bind(&arguments.listen).await?;
     let http_address: SocketAddr = listener.local_addr()?;
     print_bound(&serde_json::json!({ "http_address": http_address }));
