--- a/crates/standins/src/backend/mod.rs
+++ b/crates/standins/src/backend/mod.rs
@@ -10,6 +10,7 @@
 pub use behaviour::{Behaviour, LoadAnswer, LoadReport, ServerCounts};
 
 use {
+    crate::locks::lock,
     axum::{
         Json, Router,
         extract::{Path, State},
@@ -22,7 +23,7 @@
     std::{
         collections::BTreeMap,
         io,
-        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        sync::{Arc, Mutex, MutexGuard},
         time::{Duration, Instant},
     },
     tokio::{net::TcpListener, sync::watch, time::sleep},
@@ -121,10 +122,6 @@
     }
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 async fn run_request(
     State(backend): State<Backend>,
     Path((service, id)): Path<(String, String)>,
--- a/crates/standins/src/fabric/mod.rs
+++ b/crates/standins/src/fabric/mod.rs
@@ -2,6 +2,7 @@
 //! answers back.
 
 use {
+    crate::locks::lock,
     axum::{Json, Router, extract::State, http::StatusCode, routing::put},
     cardamomloom_protocol::{gue, packet},
     rand::{RngExt, SeedableRng},
@@ -11,7 +12,7 @@
         collections::HashMap,
         io,
         net::SocketAddr,
-        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        sync::{Arc, Mutex},
         time::Duration,
     },
     tokio::{
@@ -194,10 +195,6 @@
     }
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 async fn put_targets(State(fabric): State<Fabric>, Json(targets): Json<Vec<Target>>) -> StatusCode {
     fabric.set_targets(targets);
     StatusCode::NO_CONTENT
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod demo;
 pub mod fabric;
 pub mod fleet;
+mod locks;
 pub mod model;
 pub mod processes;
 pub mod store;
--- a/crates/standins/src/store/mod.rs
+++ b/crates/standins/src/store/mod.rs
@@ -5,6 +5,7 @@
 pub use faults::{Faults, LostAnswers};
 
 use {
+    crate::locks::lock,
     axum::{
         Json, Router,
         extract::{Path, Query, State},
@@ -19,7 +20,7 @@
         collections::BTreeMap,
         io,
         sync::{
-            Arc, Mutex, MutexGuard, PoisonError,
+            Arc, Mutex,
             atomic::{AtomicU64, Ordering},
         },
         time::Duration,
@@ -180,10 +181,6 @@
     }
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 fn error(status: StatusCode, message: &str, present: Option<Object>) -> Response {
     let body = ErrorBody {
         error: Arc::from(message),
