Serve pass-through deliveries on the users' platform

Cause: packets there cannot be terminated; the host keeps the state of its flows. Change: adapter in platform/, decisions in coordination::passthrough, one-threaded process in daemon::passthrough, deploy file and settings templates. The flow is searched for among the agents of a service when a balancer does not know its owner.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod handover;
 pub mod membership;
 pub mod ownership;
+pub mod passthrough;
 pub mod termination;
--- /dev/null
+++ b/crates/coordination/src/passthrough/agent/control.rs
@@ -0,0 +1,291 @@
+//! Reports of the backend server, control messages, and the end of an agent.
+
+use {
+    super::{Action, Agent, ColdBucket, Host, HostReportState, Phase, ReportOutcome},
+    crate::passthrough::balancer::Outgoing,
+    cardamomloom_core::{Span, Time},
+    cardamomloom_protocol::passthrough::{
+        Announcement, BalancerView, CatalogueDocument, HostReport, HostStanding, PeerMessage,
+        Snapshot, ZoneStanding,
+    },
+    log::{info, warn},
+    std::net::Ipv4Addr,
+};
+
+#[derive(Debug, Default)]
+pub(super) struct ControlState {
+    next_announcement: Time,
+    sequence: u64,
+    stopping_since: Option<Time>,
+    /// A balancer that has a newer catalogue.
+    ahead: Option<Ipv4Addr>,
+    last_standing: Option<HostStanding>,
+}
+
+impl ControlState {
+    pub const fn is_stopping(&self) -> bool {
+        self.stopping_since.is_some()
+    }
+}
+
+impl Agent {
+    /// Processes a report of the backend server; tells whether it is acknowledged. Flows of an
+    /// earlier life are reset.
+    pub fn on_report(
+        &mut self,
+        now: Time,
+        report: &HostReport,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        if report.service != self.identity.service || report.address != self.identity.server {
+            warn!(event = "report_rejected", instance = &*report.instance, service:% = report.service, address:% = report.address; "report of another backend server");
+            return false;
+        }
+        self.unanswered_since = None;
+        let outcome = match &mut self.host {
+            Some(host) => host.on_report(now, report),
+            None => {
+                self.host = Some(Host::new(now, report));
+                self.control.next_announcement = Time::ZERO;
+                info!(event = "host_known", instance = &*report.instance, sequence = report.sequence, cold_left_ms = report.cold_left_ms; "backend server reported");
+                return true;
+            }
+        };
+        match outcome {
+            ReportOutcome::Known => return true,
+            ReportOutcome::Outdated => {
+                info!(event = "report_outdated", instance = &*report.instance, sequence = report.sequence; "report is older than the latest one");
+                return false;
+            }
+            ReportOutcome::NewLife => {
+                self.saw_birth = true;
+                self.bucket = ColdBucket::empty(now);
+                self.reset_flows(actions);
+            }
+            ReportOutcome::Changed => {}
+        }
+        self.control.next_announcement = Time::ZERO;
+        info!(event = "host_state", instance = &*report.instance, sequence = report.sequence, state:? = report.state, outcome:? = outcome; "backend server changed");
+        true
+    }
+
+    /// Processes the departure of the backend server.
+    pub fn on_departure(&mut self, instance: &str) {
+        if let Some(host) = &mut self.host
+            && host.is_instance(instance)
+        {
+            host.state = HostReportState::Gone;
+            self.control.next_announcement = Time::ZERO;
+            info!(event = "host_gone", instance; "backend server left");
+        }
+    }
+
+    /// Does what is due and returns the messages to send.
+    pub fn on_tick(&mut self, now: Time) -> Vec<Outgoing> {
+        let standing = self.standing(now);
+        if self.control.last_standing != Some(standing) {
+            self.control.last_standing = Some(standing);
+            self.control.next_announcement = Time::ZERO;
+            info!(event = "standing", standing:? = standing, open_flows = self.flows.active(); "state of the host as announced");
+        }
+        if now < self.control.next_announcement {
+            return Vec::new();
+        }
+        self.control.next_announcement = now + self.options.announce_interval;
+        self.peers.expire(now);
+        let options = self.options;
+        self.flows.expire(|entry| {
+            let idle = now.since(entry.used);
+            match entry.phase {
+                Phase::Open if entry.caller_acknowledgment.is_some() => idle > options.keep_idle_for,
+                _ => idle > options.keep_ended_for,
+            }
+        });
+        self.announcements(now)
+    }
+
+    /// Processes a control message and returns the answers.
+    pub fn on_message(&mut self, now: Time, message: PeerMessage) -> Vec<Outgoing> {
+        match message {
+            PeerMessage::View(view) => self.on_view(now, view),
+            PeerMessage::Owner(owner) => {
+                self.on_owner(now, owner.flow, owner.agent);
+                Vec::new()
+            }
+            PeerMessage::Announcement(_) => Vec::new(),
+        }
+    }
+
+    /// Takes over a catalogue.
+    pub fn on_catalogue(&mut self, document: CatalogueDocument) {
+        let (version, routes) = (document.version, document.routes.len());
+        if self.catalogue.apply_document(document) {
+            self.control.next_announcement = Time::ZERO;
+            info!(event = "catalogue_in_force", version:%, routes; "catalogue is in force");
+        }
+    }
+
+    /// Takes over which failure domains are out.
+    pub fn on_standing(&mut self, standing: ZoneStanding) {
+        let revision = standing.revision;
+        let domains = format!("{:?}", standing.domains_out);
+        if self.catalogue.apply_standing(standing) {
+            info!(event = "domains_out_changed", revision:%, domains; "failure domains that are out");
+        }
+    }
+
+    /// Notes that the store confirmed catalogue and failure domains at a time.
+    pub fn on_store_confirmed(&mut self, asked: Time) {
+        self.catalogue.confirm(asked);
+    }
+
+    /// Takes over what a balancer knows.
+    pub fn on_snapshot(&mut self, now: Time, snapshot: Snapshot) {
+        self.control.ahead = None;
+        if let Some(document) = snapshot.catalogue {
+            self.on_catalogue(document);
+        }
+        if let Some(standing) = snapshot.standing {
+            self.on_standing(standing);
+        }
+        for balancer in snapshot.balancers {
+            self.peers.add(now, balancer);
+        }
+    }
+
+    /// Returns the balancer to copy from, if it has what this agent lacks.
+    #[must_use]
+    pub fn snapshot_source(&mut self, _now: Time) -> Option<Ipv4Addr> {
+        self.control.ahead.take()
+    }
+
+    /// Tells whether the agent has to read the store itself, because no balancer confirms its
+    /// catalogue.
+    #[must_use]
+    pub fn should_read(&self, now: Time) -> bool {
+        now.since(self.started) > self.options.stale_after
+            && self
+                .catalogue
+                .confirmed_ago(now)
+                .is_none_or(|ago| ago > self.options.stale_after)
+    }
+
+    /// Begins to stop.
+    pub fn stop(&mut self, now: Time) {
+        self.control.stopping_since.get_or_insert(now);
+        self.control.next_announcement = Time::ZERO;
+    }
+
+    /// Tells whether a stopping agent may end.
+    #[must_use]
+    pub fn may_end(&self, now: Time) -> bool {
+        self.control.stopping_since.is_some_and(|since| {
+            let waited = now.since(since);
+            waited >= self.options.stop_timeout
+                || (waited >= self.options.stop_linger && self.flows.active() == 0)
+        })
+    }
+
+    /// Adds balancers that may exist.
+    pub fn add_peers(&mut self, now: Time, balancers: &[Ipv4Addr]) {
+        for balancer in balancers {
+            if self.peers.add(now, *balancer) {
+                self.control.next_announcement = Time::ZERO;
+            }
+        }
+    }
+
+    /// Returns the number of active flows, hosts and balancers.
+    #[must_use]
+    pub fn counts(&self) -> (usize, usize, usize) {
+        (self.flows.active(), self.others.len(), self.peers.len())
+    }
+
+    fn on_view(&mut self, now: Time, view: BalancerView) -> Vec<Outgoing> {
+        let added = self.peers.on_view(now, &view);
+        self.on_standing(view.standing);
+        if view.catalogue > self.catalogue.version() {
+            self.control.ahead = Some(view.balancer);
+        } else if let Some(ago_ms) = view.confirmed_ago_ms
+            && view.catalogue == self.catalogue.version()
+        {
+            self.catalogue
+                .confirm(now - Span::from_millis(u64::from(ago_ms)));
+        }
+        if !view.hosts.is_empty() {
+            self.others = view.hosts;
+        }
+        let mut outgoing = Vec::new();
+        for to in added {
+            let announcement = self.announcement(now, false);
+            outgoing.push(Outgoing {
+                to,
+                message: PeerMessage::Announcement(announcement),
+            });
+        }
+        outgoing
+    }
+
+    fn reset_flows(&mut self, actions: &mut Vec<Action>) {
+        let lost = self.flows.take_active();
+        let resets = lost.into_iter().filter_map(|(flow, entry)| {
+            matches!(entry.phase, Phase::Open)
+                .then_some(entry.caller_acknowledgment)
+                .flatten()
+                .map(|sequence| Action::Reset { flow, sequence })
+        });
+        actions.extend(resets);
+    }
+
+    /// One balancer at a time, in turn, is asked for the hosts of the service.
+    fn announcements(&mut self, now: Time) -> Vec<Outgoing> {
+        let balancers: Vec<Ipv4Addr> = self.peers.addresses().collect();
+        let live: Vec<Ipv4Addr> = self.peers.live(now).collect();
+        let turn = usize::try_from(self.control.sequence).unwrap_or_default();
+        let asked = live.get(turn % live.len().max(1)).copied();
+        self.control.sequence += 1;
+        let announcement = self.announcement(now, false);
+        balancers
+            .into_iter()
+            .map(|to| Outgoing {
+                to,
+                message: PeerMessage::Announcement(Announcement {
+                    wants_hosts: asked.is_none_or(|asked| asked == to),
+                    ..announcement.clone()
+                }),
+            })
+            .collect()
+    }
+
+    fn announcement(&self, now: Time, wants_hosts: bool) -> Announcement {
+        Announcement {
+            agent: self.identity.address,
+            process: self.identity.process,
+            sequence: self.control.sequence,
+            service: self.identity.service.clone(),
+            domain: self.identity.domain.clone(),
+            life: self.host.as_ref().map(|host| host.life).unwrap_or_default(),
+            standing: self.standing(now),
+            slots: self
+                .host
+                .as_ref()
+                .map_or(0, |host| u16::try_from(host.slots).unwrap_or(u16::MAX)),
+            open_flows: u16::try_from(self.flows.active()).unwrap_or(u16::MAX),
+            catalogue: self.catalogue.version(),
+            wants_hosts,
+        }
+    }
+
+    fn standing(&self, now: Time) -> HostStanding {
+        let Some(host) = &self.host else {
+            return HostStanding::Starting;
+        };
+        match host.state {
+            HostReportState::Gone => HostStanding::Gone,
+            HostReportState::Draining => HostStanding::Draining,
+            HostReportState::Ready if self.control.is_stopping() => HostStanding::Draining,
+            HostReportState::Ready if self.is_silent(now) => HostStanding::Starting,
+            HostReportState::Ready => HostStanding::Ready,
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/passthrough/agent/flows.rs
@@ -0,0 +1,145 @@
+//! Flows of the backend server beside an agent.
+
+use {
+    cardamomloom_core::Time,
+    cardamomloom_protocol::passthrough::{FlowId, RelayHeader},
+    std::{collections::HashMap, net::Ipv4Addr},
+};
+
+/// Distance between an acknowledgment of a caller and the latest sequence number of its host. The
+/// two are at most a window apart; another host's numbers are random.
+const SEQUENCE_DISTANCE: u32 = 1 << 20;
+
+/// How far a flow is.
+#[derive(Clone, Debug)]
+pub(super) enum Phase {
+    /// The opening packet was delivered and is not answered.
+    Opening {
+        /// The packet, in case another host has to take it.
+        packet: Box<[u8]>,
+        header: RelayHeader,
+        /// Whether the packet was already given to another agent as well.
+        is_passed_on: bool,
+    },
+    /// A packet of a flow that this process does not know was delivered.
+    Probing,
+    /// The backend server answered.
+    Open,
+    /// Both ends have closed, or one has aborted.
+    Ended,
+}
+
+#[derive(Clone, Debug)]
+pub(super) struct OwnFlow {
+    pub phase: Phase,
+    pub used: Time,
+    /// Latest sequence number of the backend server.
+    pub server_sequence: Option<u32>,
+    /// Latest acknowledgment of the caller.
+    pub caller_acknowledgment: Option<u32>,
+    pub is_caller_finished: bool,
+    pub is_server_finished: bool,
+    /// Processes to tell that the flow is here.
+    pub inform: Vec<Ipv4Addr>,
+}
+
+impl OwnFlow {
+    pub const fn new(now: Time, phase: Phase) -> Self {
+        Self {
+            phase,
+            used: now,
+            server_sequence: None,
+            caller_acknowledgment: None,
+            is_caller_finished: false,
+            is_server_finished: false,
+            inform: Vec::new(),
+        }
+    }
+
+    /// Tells whether a packet with this acknowledgment belongs to the flow of this host, and not
+    /// to one of another host that answered the same opening.
+    pub const fn matches(&self, acknowledgment: u32) -> bool {
+        match self.server_sequence {
+            Some(latest) => {
+                acknowledgment
+                    .wrapping_sub(latest)
+                    .wrapping_add(SEQUENCE_DISTANCE)
+                    <= 2 * SEQUENCE_DISTANCE
+            }
+            None => false,
+        }
+    }
+
+    pub const fn is_active(&self) -> bool {
+        matches!(self.phase, Phase::Opening { .. } | Phase::Open)
+    }
+}
+
+/// The flows of one backend server, with a count of the active ones.
+#[derive(Debug, Default)]
+pub(super) struct OwnFlows {
+    flows: HashMap<FlowId, OwnFlow>,
+    active: usize,
+}
+
+impl OwnFlows {
+    pub const fn active(&self) -> usize {
+        self.active
+    }
+
+    pub fn get(&self, flow: &FlowId) -> Option<&OwnFlow> {
+        self.flows.get(flow)
+    }
+
+    /// Changes a flow and keeps the count right.
+    pub fn update<T>(&mut self, flow: &FlowId, change: impl FnOnce(&mut OwnFlow) -> T) -> Option<T> {
+        let entry = self.flows.get_mut(flow)?;
+        let before = entry.is_active();
+        let result = change(entry);
+        let after = entry.is_active();
+        self.count(before, after);
+        Some(result)
+    }
+
+    pub fn insert(&mut self, flow: FlowId, entry: OwnFlow) {
+        let after = entry.is_active();
+        let before = self
+            .flows
+            .insert(flow, entry)
+            .is_some_and(|old| old.is_active());
+        self.count(before, after);
+    }
+
+    pub fn remove(&mut self, flow: &FlowId) -> Option<OwnFlow> {
+        let entry = self.flows.remove(flow)?;
+        self.count(entry.is_active(), false);
+        Some(entry)
+    }
+
+    /// Removes all flows and returns the active ones.
+    pub fn take_active(&mut self) -> Vec<(FlowId, OwnFlow)> {
+        self.active = 0;
+        self.flows
+            .drain()
+            .filter(|(_, entry)| entry.is_active())
+            .collect()
+    }
+
+    /// Removes flows for which `is_expired` holds.
+    pub fn expire(&mut self, is_expired: impl Fn(&OwnFlow) -> bool) {
+        self.flows.retain(|_, entry| !is_expired(entry));
+        self.active = self
+            .flows
+            .values()
+            .filter(|entry| entry.is_active())
+            .count();
+    }
+
+    const fn count(&mut self, before: bool, after: bool) {
+        if before && !after {
+            self.active -= 1;
+        } else if after && !before {
+            self.active += 1;
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/passthrough/balancer/control.rs
@@ -0,0 +1,297 @@
+//! Control messages of a balancer, and who reads the store.
+
+use {
+    super::Balancer,
+    cardamomloom_core::{Span, Time},
+    cardamomloom_protocol::passthrough::{
+        Announcement, BalancerView, CatalogueDocument, PeerMessage, Snapshot, ZoneStanding,
+    },
+    log::info,
+    std::net::Ipv4Addr,
+};
+
+/// Most hosts in one view, so that it fits a datagram.
+const MAX_BRIEFS: usize = 64;
+
+/// Most balancers in one view, so that it fits a datagram. The list starts at another balancer
+/// each time, so that a receiver learns all of them.
+const MAX_BALANCERS: usize = 48;
+
+/// A control message to send.
+#[derive(Clone, Debug)]
+pub struct Outgoing {
+    /// Address of the receiver.
+    pub to: Ipv4Addr,
+    /// The message.
+    pub message: PeerMessage,
+}
+
+#[derive(Debug, Default)]
+pub(super) struct ControlState {
+    next_view: Time,
+    turn: usize,
+    /// Time at which the store last answered this process.
+    read: Option<Time>,
+    is_stopping: bool,
+    /// A balancer that has a newer catalogue.
+    ahead: Option<Ipv4Addr>,
+}
+
+/// Time without an answer of the store after which a reader leaves the reading to others.
+const READER_SILENCE: Span = Span::from_millis(2_500);
+
+impl Balancer {
+    /// Does what is due and returns the messages to send.
+    pub fn on_tick(&mut self, now: Time) -> Vec<Outgoing> {
+        self.hosts.on_step(now);
+        if now < self.control.next_view {
+            return Vec::new();
+        }
+        self.control.next_view = now + self.options.view_interval;
+        self.peers.expire(now);
+        for agent in self.hosts.expire(now) {
+            info!(event = "host_forgotten", agent:%; "host was silent for long");
+        }
+        let message = PeerMessage::View(self.view(now, false, None));
+        self.peers
+            .addresses()
+            .map(|to| Outgoing {
+                to,
+                message: message.clone(),
+            })
+            .collect()
+    }
+
+    /// Processes a control message and returns the answers.
+    pub fn on_message(&mut self, now: Time, message: PeerMessage) -> Vec<Outgoing> {
+        match message {
+            PeerMessage::Announcement(announcement) => self.on_announcement(now, announcement),
+            PeerMessage::View(view) => self.on_view(now, &view),
+            PeerMessage::Owner(owner) => {
+                self.on_owner(now, owner.flow, owner.agent);
+                Vec::new()
+            }
+        }
+    }
+
+    /// Takes over a catalogue of the store or of a peer, and returns what to tell others.
+    pub fn on_catalogue(&mut self, now: Time, document: CatalogueDocument) -> Vec<Outgoing> {
+        let (version, routes) = (document.version, document.routes.len());
+        if !self.catalogue.apply_document(document) {
+            return Vec::new();
+        }
+        info!(event = "catalogue_in_force", version:%, routes; "catalogue is in force");
+        self.tell_all(now)
+    }
+
+    /// Takes over which failure domains are out, and returns what to tell others.
+    pub fn on_standing(&mut self, now: Time, standing: ZoneStanding) -> Vec<Outgoing> {
+        let revision = standing.revision;
+        let domains = format!("{:?}", standing.domains_out);
+        if !self.catalogue.apply_standing(standing) {
+            return Vec::new();
+        }
+        info!(event = "domains_out_changed", revision:%, domains; "failure domains that are out");
+        self.tell_all(now)
+    }
+
+    /// Notes that the store confirmed catalogue and failure domains at a time.
+    pub fn on_store_confirmed(&mut self, asked: Time) {
+        self.control.read = self.control.read.max(Some(asked));
+        self.catalogue.confirm(asked);
+    }
+
+    /// Takes over what a peer knows.
+    pub fn on_snapshot(&mut self, now: Time, snapshot: Snapshot) -> Vec<Outgoing> {
+        self.control.ahead = None;
+        let mut outgoing = Vec::new();
+        if let Some(document) = snapshot.catalogue {
+            outgoing.extend(self.on_catalogue(now, document));
+        }
+        if let Some(standing) = snapshot.standing {
+            outgoing.extend(self.on_standing(now, standing));
+        }
+        for balancer in snapshot.balancers {
+            self.peers.add(now, balancer);
+        }
+        for host in snapshot.hosts {
+            self.hosts.on_peer_record(now, host);
+        }
+        outgoing
+    }
+
+    /// Returns what a process that starts or lags copies.
+    #[must_use]
+    pub fn snapshot(&self, now: Time) -> Snapshot {
+        Snapshot {
+            catalogue: self.catalogue.document().cloned(),
+            standing: self
+                .catalogue
+                .standing_revision()
+                .map(|_| self.catalogue.standing()),
+            confirmed_ago_ms: self.confirmed_ago_ms(now),
+            balancers: self.peers.addresses().chain([self.own]).collect(),
+            hosts: self
+                .hosts
+                .iter()
+                .map(|record| record.announcement.clone())
+                .collect(),
+        }
+    }
+
+    /// Returns the balancer to copy from, if it has what this one lacks.
+    #[must_use]
+    pub fn snapshot_source(&mut self, now: Time) -> Option<Ipv4Addr> {
+        if self.control.ahead.is_some() {
+            return self.control.ahead.take();
+        }
+        if self.catalogue.is_informed() {
+            return None;
+        }
+        self.control.turn += 1;
+        self.peers.informed(now, self.control.turn)
+    }
+
+    /// Tells whether this balancer reads the store, for itself or for others.
+    #[must_use]
+    pub fn should_read(&self, now: Time) -> bool {
+        !self.catalogue.is_informed()
+            || self.peers.readers_before(now, self.own) < self.options.readers
+    }
+
+    /// Tells whether the routers may send packets.
+    #[must_use]
+    pub fn is_ready(&self, now: Time) -> bool {
+        let has_host = self
+            .hosts
+            .iter()
+            .any(|record| self.hosts.accepts_new(now, record));
+        let has_waited = now.since(self.started) >= self.options.ready_without_hosts_after;
+        self.catalogue.is_informed() && (has_host || has_waited) && !self.control.is_stopping
+    }
+
+    /// Begins to stop and returns what to tell others.
+    pub fn stop(&mut self, now: Time) -> Vec<Outgoing> {
+        self.control.is_stopping = true;
+        self.control.next_view = Time::ZERO;
+        self.on_tick(now)
+    }
+
+    /// Adds balancers that may exist.
+    pub fn add_peers(&mut self, now: Time, balancers: &[Ipv4Addr]) {
+        for balancer in balancers {
+            if self.peers.add(now, *balancer) {
+                self.control.next_view = Time::ZERO;
+            }
+        }
+    }
+
+    /// Returns the number of known hosts and balancers.
+    #[must_use]
+    pub fn counts(&self) -> (usize, usize) {
+        (self.hosts.len(), self.peers.len())
+    }
+
+    fn on_announcement(&mut self, now: Time, announcement: Announcement) -> Vec<Outgoing> {
+        let is_lagging = announcement.catalogue < self.catalogue.version();
+        let wants_answer = announcement.wants_hosts || is_lagging;
+        let answer = wants_answer.then(|| Outgoing {
+            to: announcement.agent,
+            message: PeerMessage::View(self.view(now, false, Some(&announcement))),
+        });
+        let (agent, life, standing) = (
+            announcement.agent,
+            announcement.life,
+            announcement.standing,
+        );
+        if self.hosts.on_announcement(now, announcement) {
+            info!(event = "host_changed", agent:%, life:%, standing:? = standing; "host announced a new state");
+        }
+        answer.into_iter().collect()
+    }
+
+    fn on_view(&mut self, now: Time, view: &BalancerView) -> Vec<Outgoing> {
+        let added = self.peers.on_view(now, view);
+        let mut outgoing = self.on_standing(now, view.standing.clone());
+        if view.catalogue > self.catalogue.version() {
+            self.control.ahead = Some(view.balancer);
+        } else if let Some(ago_ms) = view.confirmed_ago_ms
+            && view.catalogue == self.catalogue.version()
+        {
+            self.catalogue
+                .confirm(now - Span::from_millis(u64::from(ago_ms)));
+        }
+        if !added.is_empty() {
+            let message = PeerMessage::View(self.view(now, true, None));
+            outgoing.extend(added.into_iter().map(|to| Outgoing {
+                to,
+                message: message.clone(),
+            }));
+        }
+        if view.wants_answer {
+            outgoing.push(Outgoing {
+                to: view.balancer,
+                message: PeerMessage::View(self.view(now, false, None)),
+            });
+        }
+        outgoing
+    }
+
+    /// Tells other balancers of a change, and agents too when this balancer reads the store.
+    fn tell_all(&mut self, now: Time) -> Vec<Outgoing> {
+        let to_peers = PeerMessage::View(self.view(now, false, None));
+        let mut outgoing: Vec<Outgoing> = self
+            .peers
+            .addresses()
+            .map(|to| Outgoing {
+                to,
+                message: to_peers.clone(),
+            })
+            .collect();
+        if self.is_reader(now) {
+            outgoing.extend(self.hosts.iter().map(|record| Outgoing {
+                to: record.announcement.agent,
+                message: PeerMessage::View(self.view(now, false, Some(&record.announcement))),
+            }));
+        }
+        outgoing
+    }
+
+    fn is_reader(&self, now: Time) -> bool {
+        self.control
+            .read
+            .is_some_and(|read| now.since(read) <= READER_SILENCE)
+    }
+
+    fn view(&self, now: Time, wants_answer: bool, agent: Option<&Announcement>) -> BalancerView {
+        let hosts = agent.map_or_else(Vec::new, |agent| {
+            let is_out = |domain: &_| self.catalogue.is_out(domain);
+            self.hosts.briefs(now, &agent.service, is_out, MAX_BRIEFS)
+        });
+        let known = self.peers.len();
+        BalancerView {
+            balancer: self.own,
+            is_stopping: self.control.is_stopping,
+            is_informed: self.catalogue.is_informed(),
+            is_reader: self.is_reader(now),
+            wants_answer,
+            catalogue: self.catalogue.version(),
+            standing: self.catalogue.standing(),
+            confirmed_ago_ms: self.confirmed_ago_ms(now),
+            balancers: self
+                .peers
+                .addresses()
+                .cycle()
+                .skip(self.control.turn % known.max(1))
+                .take(known.min(MAX_BALANCERS))
+                .collect(),
+            hosts,
+        }
+    }
+
+    fn confirmed_ago_ms(&self, now: Time) -> Option<u32> {
+        self.catalogue
+            .confirmed_ago(now)
+            .map(|ago| u32::try_from(ago.as_millis()).unwrap_or(u32::MAX))
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/passthrough/balancer/mod.rs
@@ -0,0 +1,239 @@
+//! Decisions of a balancer: which agent gets a packet, and what other processes are told.
+
+mod control;
+
+pub use control::Outgoing;
+
+use {
+    super::{
+        CatalogueView, FlowMemory, HostDirectory, HostDirectoryOptions, HostRecord, Lookup,
+        PeerDirectory, PeerDirectoryOptions, flow_hash, rank,
+    },
+    cardamomloom_core::{ServiceName, Span, Time},
+    cardamomloom_protocol::passthrough::{
+        FlowId, HostStanding, Life, RelayHeader, Segment, ServiceTag,
+    },
+    std::net::Ipv4Addr,
+};
+
+/// Limits and times of a balancer.
+#[derive(Clone, Copy, Debug)]
+pub struct BalancerOptions {
+    /// Times of the host directory.
+    pub hosts: HostDirectoryOptions,
+    /// Times of the balancer directory.
+    pub peers: PeerDirectoryOptions,
+    /// Flows whose agent is remembered: four times the share of one of 570 balancers in 8.3
+    /// million flows.
+    pub remembered_flows: usize,
+    /// Time for which an unused flow is remembered, the idle timeout of the users' catalogues.
+    pub remember_for: Span,
+    /// Age of the catalogue up to which an unknown address is refused with a reset. An older
+    /// catalogue may lack a new route, so that its packets are dropped.
+    pub fresh_for: Span,
+    /// Interval of the signs of life between balancers.
+    pub view_interval: Span,
+    /// Balancers that read the store for all others; two, so that one can be lost.
+    pub readers: usize,
+    /// Time without any usable host after which a starting balancer reports ready all the same.
+    pub ready_without_hosts_after: Span,
+}
+
+impl Default for BalancerOptions {
+    fn default() -> Self {
+        Self {
+            hosts: HostDirectoryOptions::default(),
+            peers: PeerDirectoryOptions::default(),
+            remembered_flows: 65_536,
+            remember_for: Span::from_secs(15),
+            fresh_for: Span::from_secs(4),
+            view_interval: Span::from_millis(500),
+            readers: 2,
+            ready_without_hosts_after: Span::from_secs(2),
+        }
+    }
+}
+
+/// Why a balancer drops a packet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum DropReason {
+    /// No catalogue is known yet.
+    Uninformed,
+    /// The catalogue has no such address.
+    NoRoute,
+    /// No host of the service takes new flows.
+    NoHost,
+}
+
+impl DropReason {
+    /// Returns the label of the reason in metrics and logs.
+    #[must_use]
+    pub const fn label(self) -> &'static str {
+        match self {
+            Self::Uninformed => "uninformed",
+            Self::NoRoute => "no_route",
+            Self::NoHost => "no_host",
+        }
+    }
+}
+
+/// What becomes of a packet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// The packet goes to an agent.
+    Forward {
+        /// Address of the agent.
+        to: Ipv4Addr,
+        /// Header in front of the packet.
+        header: RelayHeader,
+    },
+    /// The caller is told that its flow was not opened.
+    Refuse,
+    /// The packet is dropped.
+    Drop(DropReason),
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Placement {
+    agent: Ipv4Addr,
+    life: Life,
+}
+
+/// State of a balancer.
+#[derive(Debug)]
+pub struct Balancer {
+    options: BalancerOptions,
+    own: Ipv4Addr,
+    started: Time,
+    catalogue: CatalogueView,
+    hosts: HostDirectory,
+    peers: PeerDirectory,
+    placements: FlowMemory<Placement>,
+    control: control::ControlState,
+}
+
+impl Balancer {
+    /// Creates the state of a balancer at an address. `seeds` may be balancers.
+    #[must_use]
+    pub fn new(options: BalancerOptions, own: Ipv4Addr, seeds: &[Ipv4Addr], now: Time) -> Self {
+        let mut peers = PeerDirectory::new(own, options.peers);
+        for seed in seeds {
+            peers.add(now, *seed);
+        }
+        Self {
+            own,
+            started: now,
+            catalogue: CatalogueView::default(),
+            hosts: HostDirectory::new(options.hosts),
+            peers,
+            placements: FlowMemory::new(options.remembered_flows, options.remember_for),
+            control: control::ControlState::default(),
+            options,
+        }
+    }
+
+    /// Decides about a packet of a caller.
+    pub fn on_packet(&mut self, now: Time, segment: &Segment) -> Verdict {
+        let flow = segment.flow_from_caller();
+        let (service, tag) = match self.catalogue.lookup(&flow) {
+            Lookup::Uninformed => return Verdict::Drop(DropReason::Uninformed),
+            Lookup::NoRoute => return self.on_unknown_address(now, segment),
+            Lookup::Service(_, service) => (service.clone(), ServiceTag::from(service)),
+        };
+        let chosen = if segment.is_opening() {
+            self.place(now, &flow, segment.acknowledgment, &service)
+        } else {
+            self.find(now, &flow, &service)
+        };
+        let Some(placement) = chosen else {
+            return Verdict::Drop(DropReason::NoHost);
+        };
+        Verdict::Forward {
+            to: placement.agent,
+            header: RelayHeader::from_balancer(
+                self.own,
+                tag,
+                self.catalogue.version(),
+                placement.life,
+            ),
+        }
+    }
+
+    /// Remembers the owner of a flow.
+    pub fn on_owner(&mut self, now: Time, flow: FlowId, agent: Ipv4Addr) {
+        let life = self.hosts.life(agent);
+        self.placements
+            .insert(now, flow, Placement { agent, life });
+    }
+
+    /// A first opening packet is dropped without an answer, because its route may be newer than
+    /// this balancer's catalogue; its copy comes 200 ms later.
+    fn on_unknown_address(&self, now: Time, segment: &Segment) -> Verdict {
+        let is_fresh = self
+            .catalogue
+            .confirmed_ago(now)
+            .is_some_and(|ago| ago <= self.options.fresh_for);
+        if segment.is_opening() && segment.acknowledgment > 0 && is_fresh {
+            Verdict::Refuse
+        } else {
+            Verdict::Drop(DropReason::NoRoute)
+        }
+    }
+
+    /// Chooses a host for a new flow: the first by rank that has a free slot, otherwise the one
+    /// with the least load. A copy of an opening packet goes to another host than the one before.
+    fn place(
+        &mut self,
+        now: Time,
+        flow: &FlowId,
+        copies_before: u32,
+        service: &ServiceName,
+    ) -> Option<Placement> {
+        let tried = self
+            .placements
+            .touch(now, flow)
+            .filter(|_| copies_before > 0)
+            .map(|placement| placement.agent);
+        let hash = flow_hash(flow);
+        let usable = self.hosts.of_service(service).filter(|record| {
+            self.hosts.accepts_new(now, record)
+                && !self.catalogue.is_out(&record.announcement.domain)
+        });
+        let chosen = usable
+            .min_by_key(|record| {
+                let announcement = &record.announcement;
+                let excess = (record.load() + 1).saturating_sub(announcement.slots);
+                let was_tried = Some(announcement.agent) == tried;
+                (was_tried, excess, !rank(hash, announcement.agent))
+            })
+            .map(to_placement)?;
+        self.hosts.on_sent(chosen.agent);
+        self.placements.insert(now, *flow, chosen);
+        Some(chosen)
+    }
+
+    /// Returns the agent that probably owns an open flow.
+    fn find(&mut self, now: Time, flow: &FlowId, service: &ServiceName) -> Option<Placement> {
+        if let Some(placement) = self.placements.touch(now, flow).copied() {
+            let is_present = self.hosts.get(placement.agent).is_none_or(|record| {
+                record.announcement.standing != HostStanding::Gone
+            });
+            if is_present {
+                return Some(placement);
+            }
+        }
+        self.hosts
+            .first_for(service, flow_hash(flow))
+            .map(|record| Placement {
+                life: Life::default(),
+                ..to_placement(record)
+            })
+    }
+}
+
+const fn to_placement(record: &HostRecord) -> Placement {
+    Placement {
+        agent: record.announcement.agent,
+        life: record.announcement.life,
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/passthrough/hosts.rs
@@ -0,0 +1,265 @@
+//! Hosts that a balancer knows from the announcements of their agents.
+
+use {
+    super::rank,
+    cardamomloom_core::{DomainName, ServiceName, Span, Time},
+    cardamomloom_protocol::passthrough::{
+        Announcement, CatalogueVersion, HostBrief, HostStanding, Life,
+    },
+    std::{collections::HashMap, net::Ipv4Addr},
+};
+
+/// Times after which hosts are left out.
+#[derive(Clone, Copy, Debug)]
+pub struct HostDirectoryOptions {
+    /// Silence after which a host takes no new flows: four announcements in a row are missing.
+    pub suspect_after: Span,
+    /// Silence after which a host is forgotten; flows older than this may still find their agent
+    /// by a search.
+    pub forget_after: Span,
+    /// Pause of the process after which silence of hosts says nothing about them.
+    pub pause: Span,
+}
+
+impl Default for HostDirectoryOptions {
+    fn default() -> Self {
+        Self {
+            suspect_after: Span::from_millis(1_100),
+            forget_after: Span::from_secs(20),
+            pause: Span::from_millis(400),
+        }
+    }
+}
+
+/// What is known of one host.
+#[derive(Clone, Debug)]
+pub struct HostRecord {
+    /// Its last announcement.
+    pub announcement: Announcement,
+    /// Time of that announcement, or `None` when a peer told of the host.
+    pub heard: Option<Time>,
+    /// Time at which the record was made.
+    pub known_since: Time,
+    /// New flows sent there since the last announcement.
+    pub sent: u16,
+}
+
+impl HostRecord {
+    /// Returns the open flows, with those that the host has not announced yet.
+    #[must_use]
+    pub const fn load(&self) -> u16 {
+        self.announcement.open_flows.saturating_add(self.sent)
+    }
+
+    fn last_sign(&self) -> Time {
+        self.heard.unwrap_or(self.known_since)
+    }
+}
+
+/// Hosts by the address of their agent.
+#[derive(Debug)]
+pub struct HostDirectory {
+    options: HostDirectoryOptions,
+    records: HashMap<Ipv4Addr, HostRecord>,
+    by_service: HashMap<ServiceName, Vec<Ipv4Addr>>,
+    last_step: Time,
+    /// Silence before this time is not counted, because the process itself paused.
+    silence_from: Time,
+}
+
+impl HostDirectory {
+    /// Creates an empty directory.
+    #[must_use]
+    pub fn new(options: HostDirectoryOptions) -> Self {
+        Self {
+            options,
+            records: HashMap::new(),
+            by_service: HashMap::new(),
+            last_step: Time::ZERO,
+            silence_from: Time::ZERO,
+        }
+    }
+
+    /// Notes that the process runs, to tell its own pauses from silence of hosts.
+    pub fn on_step(&mut self, now: Time) {
+        if now.since(self.last_step) > self.options.pause {
+            self.silence_from = now;
+        }
+        self.last_step = now;
+    }
+
+    /// Takes over an announcement and tells whether the host changed.
+    pub fn on_announcement(&mut self, now: Time, announcement: Announcement) -> bool {
+        let record = HostRecord {
+            heard: Some(now),
+            known_since: now,
+            sent: 0,
+            announcement,
+        };
+        let agent = record.announcement.agent;
+        let Some(present) = self.records.get_mut(&agent) else {
+            self.insert(record);
+            return true;
+        };
+        let (old, new) = (&present.announcement, &record.announcement);
+        if present.heard.is_some() && old.process == new.process && old.sequence >= new.sequence {
+            return false;
+        }
+        let is_change =
+            old.life != new.life || old.standing != new.standing || old.service != new.service;
+        if old.service != new.service {
+            self.remove(agent);
+            self.insert(record);
+        } else {
+            *present = record;
+        }
+        is_change
+    }
+
+    /// Takes over a host that a peer knows, if it is not known yet.
+    pub fn on_peer_record(&mut self, now: Time, announcement: Announcement) {
+        if self.records.contains_key(&announcement.agent) {
+            return;
+        }
+        self.insert(HostRecord {
+            heard: None,
+            known_since: now,
+            sent: 0,
+            announcement,
+        });
+    }
+
+    /// Forgets hosts that have been silent for long, and returns them.
+    pub fn expire(&mut self, now: Time) -> Vec<Ipv4Addr> {
+        let expired: Vec<Ipv4Addr> = self
+            .records
+            .iter()
+            .filter(|(_, record)| self.silence(now, record) > self.options.forget_after)
+            .map(|(agent, _)| *agent)
+            .collect();
+        for agent in &expired {
+            self.remove(*agent);
+        }
+        expired
+    }
+
+    /// Returns the record of a host.
+    #[must_use]
+    pub fn get(&self, agent: Ipv4Addr) -> Option<&HostRecord> {
+        self.records.get(&agent)
+    }
+
+    /// Returns all hosts.
+    pub fn iter(&self) -> impl Iterator<Item = &HostRecord> {
+        self.records.values()
+    }
+
+    /// Returns the hosts of a service.
+    pub fn of_service<'a>(
+        &'a self,
+        service: &ServiceName,
+    ) -> impl Iterator<Item = &'a HostRecord> + use<'a> {
+        self.by_service
+            .get(service)
+            .into_iter()
+            .flatten()
+            .filter_map(|agent| self.records.get(agent))
+    }
+
+    /// Tells whether a host takes new flows, its failure domain apart.
+    #[must_use]
+    pub fn accepts_new(&self, now: Time, record: &HostRecord) -> bool {
+        record.announcement.standing == HostStanding::Ready
+            && self.silence(now, record) <= self.options.suspect_after
+    }
+
+    /// Notes that a new flow was sent to a host.
+    pub fn on_sent(&mut self, agent: Ipv4Addr) {
+        if let Some(record) = self.records.get_mut(&agent) {
+            record.sent = record.sent.saturating_add(1);
+        }
+    }
+
+    /// Returns the host that comes first for a flow among those that have not left; packets of
+    /// flows that are not known are sent there.
+    #[must_use]
+    pub fn first_for(&self, service: &ServiceName, flow_hash: u64) -> Option<&HostRecord> {
+        self.of_service(service)
+            .filter(|record| record.announcement.standing != HostStanding::Gone)
+            .max_by_key(|record| rank(flow_hash, record.announcement.agent))
+    }
+
+    /// Returns what agents of a service need to know of its hosts, at most `limit` of them.
+    #[must_use]
+    pub fn briefs(
+        &self,
+        now: Time,
+        service: &ServiceName,
+        is_out: impl Fn(&DomainName) -> bool,
+        limit: usize,
+    ) -> Vec<HostBrief> {
+        let present = self
+            .of_service(service)
+            .filter(|record| record.announcement.standing != HostStanding::Gone);
+        present
+            .take(limit)
+            .map(|record| HostBrief {
+                agent: record.announcement.agent,
+                life: record.announcement.life,
+                accepts_new: self.accepts_new(now, record) && !is_out(&record.announcement.domain),
+                is_busy: record.load() >= record.announcement.slots,
+            })
+            .collect()
+    }
+
+    /// Returns the number of hosts.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Tells whether no host is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// Returns the agents that announced themselves since `version` was current to them.
+    pub fn lagging(&self, version: CatalogueVersion) -> impl Iterator<Item = Ipv4Addr> {
+        self.records
+            .values()
+            .filter(move |record| record.announcement.catalogue < version)
+            .map(|record| record.announcement.agent)
+    }
+
+    /// Returns the life of the backend server beside an agent.
+    #[must_use]
+    pub fn life(&self, agent: Ipv4Addr) -> Life {
+        self.records
+            .get(&agent)
+            .map(|record| record.announcement.life)
+            .unwrap_or_default()
+    }
+
+    fn silence(&self, now: Time, record: &HostRecord) -> Span {
+        now.since(record.last_sign().max(self.silence_from))
+    }
+
+    fn insert(&mut self, record: HostRecord) {
+        let agent = record.announcement.agent;
+        self.by_service
+            .entry(record.announcement.service.clone())
+            .or_default()
+            .push(agent);
+        self.records.insert(agent, record);
+    }
+
+    fn remove(&mut self, agent: Ipv4Addr) {
+        let Some(record) = self.records.remove(&agent) else {
+            return;
+        };
+        if let Some(agents) = self.by_service.get_mut(&record.announcement.service) {
+            agents.retain(|known| *known != agent);
+        }
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod freshness;
 pub mod inspect;
 pub mod logging;
+pub mod passthrough;
 pub mod runtime;
 pub mod settings;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -4,8 +4,8 @@
     cardamomloom_core::error::Result,
     cardamomloom_daemon::{
         logging,
-        runtime::run,
-        settings::{Settings, load},
+        passthrough, runtime,
+        settings::{AnySettings, load},
     },
     gumdrop::Options,
     std::{path::PathBuf, process::ExitCode},
@@ -46,11 +46,14 @@
     }
 }
 
-fn start(settings: &Settings, check_only: bool) -> Result<()> {
+fn start(settings: &AnySettings, check_only: bool) -> Result<()> {
     if check_only {
         println!("settings are valid");
         return Ok(());
     }
-    logging::install(settings.log_level)?;
-    run(settings)
+    logging::install(settings.log_level())?;
+    match settings {
+        AnySettings::Termination(settings) => runtime::run(settings),
+        AnySettings::PassThrough(settings) => passthrough::run(settings),
+    }
 }
--- /dev/null
+++ b/crates/daemon/src/passthrough/balancer.rs
@@ -0,0 +1,222 @@
+//! Actor of a balancer.
+
+use {
+    super::{
+        Result,
+        node::{Event, Shell, run_loop},
+        sockets::{Outbox, Port},
+        store_reader::ReadMode,
+    },
+    crate::settings::PassThroughSettings,
+    cardamomloom_coordination::passthrough::balancer::{
+        Balancer, BalancerOptions, Outgoing, Verdict,
+    },
+    cardamomloom_core::{Span, Time},
+    cardamomloom_platform::packet::PlatformPackets,
+    cardamomloom_protocol::{
+        forward::DatagramKey,
+        passthrough::{PacketFormat, RELAY_HEADER_BYTES},
+    },
+    cardamomloom_transport::udp::{ReceiveBatch, SendBatch},
+    log::info,
+    serde_json::json,
+    stakker::{CX, Stakker, actor, after, fwd_to, ret_shutdown},
+    std::{
+        net::SocketAddrV4,
+        rc::Rc,
+        sync::atomic::Ordering,
+        time::{Duration, Instant},
+    },
+    tokio::sync::mpsc::Receiver,
+};
+
+const TICK: Duration = Duration::from_millis(50);
+
+/// Runs a balancer until it is asked to stop.
+pub async fn run(
+    settings: &PassThroughSettings,
+    linger_ms: u64,
+    shell: Shell,
+    mut inbox: Receiver<Event>,
+) -> Result<()> {
+    let (data, control) = (shell.data.clone(), shell.control.clone());
+    let mut stakker = Stakker::new(Instant::now());
+    let seeds = settings.seed_addresses();
+    let balancer = Balancer::new(
+        BalancerOptions::default(),
+        settings.address(),
+        &seeds,
+        shell.clock.now(),
+    );
+    let node = BalancerNode {
+        balancer,
+        shell,
+        key: settings.key()?,
+        data_port: settings.data_address.port(),
+        format: Box::new(PlatformPackets),
+        linger: Span::from_millis(linger_ms),
+        received: ReceiveBatch::default(),
+        sender: SendBatch::default(),
+        outbox: Outbox::default(),
+        is_ready: false,
+        is_stopping: false,
+    };
+    let actor = actor!(stakker, BalancerNode::init(node), ret_shutdown!(stakker));
+    let handler = fwd_to!([actor], on_event() as (Event));
+    run_loop(&mut stakker, &handler, &data, &control, None, &mut inbox).await;
+    Ok(())
+}
+
+struct BalancerNode {
+    balancer: Balancer,
+    shell: Shell,
+    key: DatagramKey,
+    data_port: u16,
+    format: Box<dyn PacketFormat>,
+    linger: Span,
+    received: ReceiveBatch,
+    sender: SendBatch,
+    outbox: Outbox,
+    is_ready: bool,
+    is_stopping: bool,
+}
+
+impl BalancerNode {
+    fn init(cx: CX![], node: Self) -> Option<Self> {
+        after!(Duration::ZERO, [cx], on_tick());
+        Some(node)
+    }
+
+    fn on_event(&mut self, cx: CX![], event: Event) {
+        let now = self.shell.clock.now();
+        match event {
+            Event::PacketsReady => self.on_packets(now),
+            Event::ControlReady => {
+                for message in self.shell.control.receive(&mut self.received) {
+                    let answers = self.balancer.on_message(now, message);
+                    self.send(answers);
+                }
+                self.update(now);
+            }
+            Event::Catalogue(document) => {
+                let outgoing = self.balancer.on_catalogue(now, document);
+                self.send(outgoing);
+            }
+            Event::Standing(standing) => {
+                let outgoing = self.balancer.on_standing(now, standing);
+                self.send(outgoing);
+            }
+            Event::StoreConfirmed => self.balancer.on_store_confirmed(now),
+            Event::Balancers(balancers) => self.balancer.add_peers(now, &balancers),
+            Event::Copied(snapshot) => {
+                self.shell.copier.finish();
+                if let Some(snapshot) = snapshot {
+                    let outgoing = self.balancer.on_snapshot(now, *snapshot);
+                    self.send(outgoing);
+                }
+                self.update(now);
+            }
+            Event::SnapshotRequest(reply) => {
+                // The asker may have given up.
+                let _ = reply.send(self.balancer.snapshot(now));
+            }
+            Event::StatusRequest(reply) => {
+                let (hosts, balancers) = self.balancer.counts();
+                let _ = reply.send(json!({
+                    "role": "balancer", "hosts": hosts, "balancers": balancers,
+                    "ready": self.is_ready, "stopping": self.is_stopping,
+                }));
+            }
+            Event::Reload => info!(event = "reload"; "settings are read at the next start"),
+            Event::Stop => self.stop(cx, now),
+            Event::ServerPacketsReady | Event::Report(..) | Event::Departure(..) => {}
+        }
+    }
+
+    fn on_tick(&mut self, cx: CX![]) {
+        after!(TICK, [cx], on_tick());
+        let now = self.shell.clock.now();
+        let outgoing = self.balancer.on_tick(now);
+        self.send(outgoing);
+        self.update(now);
+    }
+
+    fn on_packets(&mut self, now: Time) {
+        let mut may_have_more = true;
+        while may_have_more {
+            may_have_more = self.shell.data.receive(&mut self.received);
+            for (packet, _) in self.received.datagrams() {
+                let Some(segment) = self.format.parse(packet) else {
+                    metrics::counter!("cardamomloom_dropped_packets_total", "cause" => "malformed")
+                        .increment(1);
+                    continue;
+                };
+                match self.balancer.on_packet(now, &segment) {
+                    Verdict::Forward { to, header } => {
+                        let header: [u8; RELAY_HEADER_BYTES] = header.encode(self.key, packet);
+                        let to = SocketAddrV4::new(to, self.data_port);
+                        self.outbox.push(to, &header, packet);
+                    }
+                    Verdict::Refuse => {
+                        let flow = segment.flow_from_caller();
+                        let to = SocketAddrV4::new(*flow.caller.ip(), self.data_port);
+                        self.outbox.push(to, &self.format.reset(&flow, 0), &[]);
+                    }
+                    Verdict::Drop(reason) => {
+                        metrics::counter!("cardamomloom_dropped_packets_total", "cause" => reason.label())
+                            .increment(1);
+                    }
+                }
+            }
+            let data: &Rc<Port> = &self.shell.data;
+            data.send_all(&mut self.sender, &mut self.outbox);
+        }
+    }
+
+    fn send(&self, outgoing: Vec<Outgoing>) {
+        self.shell.control.send(outgoing);
+    }
+
+    /// Brings readiness, reading and copying in line with the state.
+    fn update(&mut self, now: Time) {
+        let is_ready = self.balancer.is_ready(now);
+        if std::mem::replace(&mut self.is_ready, is_ready) != is_ready {
+            let (hosts, balancers) = self.balancer.counts();
+            info!(event = "readiness", is_ready, hosts, balancers; "readiness changed");
+            self.shell.is_ready.store(is_ready, Ordering::Relaxed);
+        }
+        let mode = if self.balancer.should_read(now) {
+            ReadMode::Watch
+        } else {
+            ReadMode::Idle
+        };
+        self.shell.read_mode.send_if_modified(|present| {
+            let is_change = *present != mode;
+            *present = mode;
+            is_change
+        });
+        if !self.shell.copier.is_busy()
+            && let Some(peer) = self.balancer.snapshot_source(now)
+        {
+            self.shell.copier.start(peer);
+        }
+    }
+
+    fn stop(&mut self, cx: CX![], now: Time) {
+        if std::mem::replace(&mut self.is_stopping, true) {
+            return;
+        }
+        info!(event = "stopping", linger:% = self.linger; "balancer stops after its linger time");
+        let outgoing = self.balancer.stop(now);
+        self.send(outgoing);
+        self.update(now);
+        after!(self.linger.to_duration(), [cx], finish());
+    }
+
+    fn finish(&mut self, cx: CX![]) {
+        let now = self.shell.clock.now();
+        // Packets that the routers already handed over are not lost.
+        self.on_packets(now);
+        cx.stop();
+    }
+}
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -1,5 +1,11 @@
 //! Settings of the daemon: JSON with comments, checked as a whole before anything starts.
 
+mod pass_through;
+
+pub use pass_through::{
+    Delivery, PassThroughAgentSettings, PassThroughRole, PassThroughSettings,
+};
+
 use {
     cardamomloom_core::{
         DomainName, HostId, ServiceName, Weight,
@@ -123,16 +129,55 @@
     Weight::STANDARD
 }
 
+/// Settings of a process, by how packets reach its backend servers.
+#[derive(Clone, Debug)]
+pub enum AnySettings {
+    /// Agents terminate the flows.
+    Termination(Settings),
+    /// Backend servers keep the state of their flows.
+    PassThrough(PassThroughSettings),
+}
+
+impl AnySettings {
+    /// Returns the lowest level that is logged.
+    #[must_use]
+    pub const fn log_level(&self) -> LogLevel {
+        match self {
+            Self::Termination(settings) => settings.log_level,
+            Self::PassThrough(settings) => settings.log_level,
+        }
+    }
+}
+
 /// Reads and checks a settings file.
 ///
 /// # Errors
 ///
 /// Fails with kind `io` when the file cannot be read, and with `invalid_argument` when a field
 /// is missing, unknown or out of range.
-pub fn load(path: &Path) -> Result<Settings> {
+pub fn load(path: &Path) -> Result<AnySettings> {
     let text = fs::read_to_string(path)
         .map_err(|error| io(format!("settings: cannot read {}: {error}", path.display())))?;
-    parse(&text)
+    parse_any(&text)
+}
+
+/// Parses and checks settings of either delivery; those with a field `delivery` are for
+/// pass-through.
+///
+/// # Errors
+///
+/// As [`parse`].
+pub fn parse_any(text: &str) -> Result<AnySettings> {
+    let value = to_value(text)?;
+    if value.get("delivery").is_none() {
+        return from_value(value).and_then(|settings: Settings| {
+            settings.check()?;
+            Ok(AnySettings::Termination(settings))
+        });
+    }
+    let settings: PassThroughSettings = from_value(value)?;
+    settings.check()?;
+    Ok(AnySettings::PassThrough(settings))
 }
 
 /// Parses and checks settings.
@@ -141,35 +186,46 @@
 ///
 /// Fails with kind `invalid_argument`; the message names field, value and allowed range.
 pub fn parse(text: &str) -> Result<Settings> {
-    let value: serde_json::Value = parse_to_serde_value(text, &ParseOptions::default())
-        .map_err(|error| invalid_argument(format!("settings: {error}")))?;
-    let settings: Settings = serde_path_to_error::deserialize(value).map_err(|error| {
+    let settings: Settings = from_value(to_value(text)?)?;
+    settings.check()?;
+    Ok(settings)
+}
+
+fn to_value(text: &str) -> Result<serde_json::Value> {
+    parse_to_serde_value(text, &ParseOptions::default())
+        .map_err(|error| invalid_argument(format!("settings: {error}")))
+}
+
+fn from_value<T: for<'de> Deserialize<'de>>(value: serde_json::Value) -> Result<T> {
+    serde_path_to_error::deserialize(value).map_err(|error| {
         invalid_argument(format!(
             "settings: field \"{}\": {}",
             error.path(),
             error.inner()
         ))
-    })?;
-    settings.check()?;
-    Ok(settings)
+    })
+}
+
+fn key_from_hex(digits: &str) -> Result<DatagramKey> {
+    if digits.len() != KEY_DIGITS || !digits.bytes().all(|b| b.is_ascii_hexdigit()) {
+        return Err(invalid_argument(format!(
+            "settings: field \"datagram_key\" has {} characters; allowed are {KEY_DIGITS} hexadecimal digits",
+            digits.len()
+        )));
+    }
+    let key = u128::from_str_radix(digits, 16).unwrap_or_default();
+    Ok(DatagramKey(key.to_be_bytes()))
 }
 
 impl Settings {
     /// Returns the key of datagrams between processes.
     #[must_use]
     pub fn datagram_key(&self) -> DatagramKey {
-        let key = u128::from_str_radix(&self.datagram_key, 16).unwrap_or_default();
-        DatagramKey(key.to_be_bytes())
+        key_from_hex(&self.datagram_key).unwrap_or(DatagramKey([0; 16]))
     }
 
     fn check(&self) -> Result<()> {
-        let key = &self.datagram_key;
-        if key.len() != KEY_DIGITS || !key.bytes().all(|b| b.is_ascii_hexdigit()) {
-            return Err(invalid_argument(format!(
-                "settings: field \"datagram_key\" has {} characters; allowed are {KEY_DIGITS} hexadecimal digits",
-                key.len()
-            )));
-        }
+        key_from_hex(&self.datagram_key)?;
         if !self.store_url.starts_with("http://") {
             return Err(invalid_argument(format!(
                 "settings: field \"store_url\" is {:?}; allowed is a URL that starts with http://",
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod gue;
 pub mod object;
 pub mod packet;
+pub mod passthrough;
 pub mod store_api;
 pub mod sync;
