Keep resets of a host that does not hold the flow from callers

Change: an RST of the backend server reaches the caller only for flows that the agent knows; a first report says that no flow is older than the process.

--- a/crates/coordination/src/passthrough/agent/control.rs
+++ b/crates/coordination/src/passthrough/agent/control.rs
@@ -46,6 +46,8 @@
             Some(host) => host.on_report(now, report),
             None => {
                 self.host = Some(Host::new(now, report));
+                // The first report of a life says that no flow is older than this process.
+                self.saw_birth = report.sequence <= 1;
                 self.control.next_announcement = Time::ZERO;
                 info!(event = "host_known", instance = &*report.instance, sequence = report.sequence, cold_left_ms = report.cold_left_ms; "backend server reported");
                 return true;
--- a/crates/coordination/src/passthrough/agent/mod.rs
+++ b/crates/coordination/src/passthrough/agent/mod.rs
@@ -246,6 +246,17 @@
             return;
         }
         let flow = segment.flow_from_server();
+        let is_known = self
+            .flows
+            .get(&flow)
+            .is_some_and(|entry| !matches!(entry.phase, Phase::Probing));
+        // A backend server that is starting resets packets of flows that it does not hold, and the
+        // flow may be open at another host.
+        if segment.flags.is_rst && !is_known {
+            self.flows.remove(&flow);
+            actions.push(Action::Drop(DropReason::UnknownFlow));
+            return;
+        }
         if self.flows.get(&flow).is_none() {
             self.flows.insert(flow, OwnFlow::new(now, Phase::Open));
         }
