Place new flows by the exact load of hosts, found by visiting them

Open flows were counted as load while their answers were already on the way. Change: balancers place by rank only; an agent whose slots are in use passes the opening to another host, up to three, and the least loaded one takes it. Load is the number of callers that wait.

--- a/crates/coordination/src/passthrough/agent/control.rs
+++ b/crates/coordination/src/passthrough/agent/control.rs
@@ -272,7 +272,7 @@
                 .host
                 .as_ref()
                 .map_or(0, |host| u16::try_from(host.slots).unwrap_or(u16::MAX)),
-            open_flows: u16::try_from(self.flows.active()).unwrap_or(u16::MAX),
+            open_flows: u16::try_from(self.flows.waiting()).unwrap_or(u16::MAX),
             catalogue: self.catalogue.version(),
             wants_hosts,
         }
--- a/crates/coordination/src/passthrough/agent/flows.rs
+++ b/crates/coordination/src/passthrough/agent/flows.rs
@@ -39,6 +39,9 @@
     pub caller_acknowledgment: Option<u32>,
     pub is_caller_finished: bool,
     pub is_server_finished: bool,
+    /// Whether the caller waits for the backend server: from the opening packet, or data of the
+    /// caller, to the first data of the backend server.
+    pub is_waiting: bool,
     /// Processes to tell that the flow is here.
     pub inform: Vec<Ipv4Addr>,
 }
@@ -46,6 +49,7 @@
 impl OwnFlow {
     pub const fn new(now: Time, phase: Phase) -> Self {
         Self {
+            is_waiting: matches!(phase, Phase::Opening { .. }),
             phase,
             used: now,
             server_sequence: None,
@@ -73,18 +77,38 @@
     pub const fn is_active(&self) -> bool {
         matches!(self.phase, Phase::Opening { .. } | Phase::Open)
     }
+
+    const fn counts(&self) -> Counts {
+        let is_active = self.is_active();
+        Counts {
+            active: is_active as usize,
+            waiting: (is_active && self.is_waiting) as usize,
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Counts {
+    active: usize,
+    waiting: usize,
 }
 
-/// The flows of one backend server, with a count of the active ones.
+/// The flows of one backend server, with counts of them.
 #[derive(Debug, Default)]
 pub(super) struct OwnFlows {
     flows: HashMap<FlowId, OwnFlow>,
-    active: usize,
+    counts: Counts,
 }
 
 impl OwnFlows {
+    /// Returns the number of open flows.
     pub const fn active(&self) -> usize {
-        self.active
+        self.counts.active
+    }
+
+    /// Returns the number of flows whose callers wait for the backend server.
+    pub const fn waiting(&self) -> usize {
+        self.counts.waiting
     }
 
     pub fn get(&self, flow: &FlowId) -> Option<&OwnFlow> {
@@ -94,31 +118,32 @@
     /// Changes a flow and keeps the count right.
     pub fn update<T>(&mut self, flow: &FlowId, change: impl FnOnce(&mut OwnFlow) -> T) -> Option<T> {
         let entry = self.flows.get_mut(flow)?;
-        let before = entry.is_active();
+        let before = entry.counts();
         let result = change(entry);
-        let after = entry.is_active();
+        let after = entry.counts();
         self.count(before, after);
         Some(result)
     }
 
     pub fn insert(&mut self, flow: FlowId, entry: OwnFlow) {
-        let after = entry.is_active();
+        let after = entry.counts();
         let before = self
             .flows
             .insert(flow, entry)
-            .is_some_and(|old| old.is_active());
+            .map(|old| old.counts())
+            .unwrap_or_default();
         self.count(before, after);
     }
 
     pub fn remove(&mut self, flow: &FlowId) -> Option<OwnFlow> {
         let entry = self.flows.remove(flow)?;
-        self.count(entry.is_active(), false);
+        self.count(entry.counts(), Counts::default());
         Some(entry)
     }
 
     /// Removes all flows and returns the active ones.
     pub fn take_active(&mut self) -> Vec<(FlowId, OwnFlow)> {
-        self.active = 0;
+        self.counts = Counts::default();
         self.flows
             .drain()
             .filter(|(_, entry)| entry.is_active())
@@ -128,18 +153,16 @@
     /// Removes flows for which `is_expired` holds.
     pub fn expire(&mut self, is_expired: impl Fn(&OwnFlow) -> bool) {
         self.flows.retain(|_, entry| !is_expired(entry));
-        self.active = self
-            .flows
-            .values()
-            .filter(|entry| entry.is_active())
-            .count();
+        self.counts = Counts::default();
+        for entry in self.flows.values() {
+            let counts = entry.counts();
+            self.counts.active += counts.active;
+            self.counts.waiting += counts.waiting;
+        }
     }
 
-    const fn count(&mut self, before: bool, after: bool) {
-        if before && !after {
-            self.active -= 1;
-        } else if after && !before {
-            self.active += 1;
-        }
+    const fn count(&mut self, before: Counts, after: Counts) {
+        self.counts.active = self.counts.active + after.active - before.active;
+        self.counts.waiting = self.counts.waiting + after.waiting - before.waiting;
     }
 }
--- a/crates/coordination/src/passthrough/agent/mod.rs
+++ b/crates/coordination/src/passthrough/agent/mod.rs
@@ -10,7 +10,8 @@
     super::{CatalogueView, FlowMemory, PeerDirectory, PeerDirectoryOptions, flow_hash, rank},
     cardamomloom_core::{DomainName, ServiceName, Span, Time},
     cardamomloom_protocol::passthrough::{
-        FlowId, HostBrief, HostReportState, Life, RelayHeader, RelayKind, Segment, ServiceTag,
+        FlowId, HostBrief, HostReportState, LeastLoaded, Life, RelayHeader, RelayKind, Segment,
+        ServiceTag,
     },
     flows::{OwnFlow, OwnFlows, Phase},
     host::{ColdBucket, Host},
@@ -42,6 +43,8 @@
     pub remembered_owners: usize,
     /// Time for which an owner elsewhere is trusted without a new sign of it.
     pub trust_owner_for: Span,
+    /// Busy hosts that the opening of a flow visits before the least loaded one takes it.
+    pub busy_visits: usize,
     /// Interval of announcements.
     pub announce_interval: Span,
     /// Age of the catalogue above which the agent reads the store itself.
@@ -65,6 +68,7 @@
             max_flow: Span::from_secs(60),
             remembered_owners: 8_192,
             trust_owner_for: Span::from_millis(1_500),
+            busy_visits: 3,
             announce_interval: Span::from_millis(250),
             stale_after: Span::from_millis(2_500),
             stop_timeout: Span::from_millis(4_500),
@@ -264,6 +268,7 @@
             entry.used = now;
             entry.server_sequence = Some(segment.sequence);
             entry.is_server_finished |= segment.flags.is_fin;
+            entry.is_waiting &= segment.payload_bytes == 0;
             if matches!(entry.phase, Phase::Opening { .. } | Phase::Probing) {
                 entry.phase = Phase::Open;
             }
@@ -328,7 +333,18 @@
             actions.push(Action::Deliver);
             return;
         }
-        if !self.may_take(now, header, &flow) {
+        if !self.may_take(now) {
+            self.pass_on(header, &flow, actions);
+            return;
+        }
+        if let Some(excess) = self.excess()
+            && header.kind != RelayKind::Assign
+            && let Some(action) = self.pass_on_busy(header, &flow, excess)
+        {
+            actions.push(action);
+            return;
+        }
+        if !self.may_start_cold(now) {
             self.pass_on(header, &flow, actions);
             return;
         }
@@ -363,6 +379,7 @@
             self.flows.update(&flow, |entry| {
                 entry.used = now;
                 entry.is_caller_finished |= segment.flags.is_fin;
+                entry.is_waiting |= segment.payload_bytes > 0;
                 if segment.flags.is_ack {
                     entry.caller_acknowledgment = Some(segment.acknowledgment);
                 }
@@ -456,35 +473,69 @@
         let _ = now;
     }
 
-    fn may_take(&mut self, now: Time, header: &RelayHeader, flow: &FlowId) -> bool {
+    /// Tells whether the host takes new flows at all.
+    fn may_take(&self, now: Time) -> bool {
         let Some(host) = &self.host else {
             return false;
         };
-        let is_usable = host.state == HostReportState::Ready
+        let max_connections = self
+            .catalogue
+            .service(&self.identity.service)
+            .map_or(u32::MAX, |service| service.max_connections);
+        host.state == HostReportState::Ready
             && !self.control.is_stopping()
             && !self.is_silent(now)
-            && !self.catalogue.is_out(&self.identity.domain);
-        if !is_usable {
-            return false;
+            && !self.catalogue.is_out(&self.identity.domain)
+            && self.flows.active() < max_connections as usize
+    }
+
+    /// Tells whether a cold host bears one more flow, and counts it.
+    fn may_start_cold(&mut self, now: Time) -> bool {
+        let is_cold = self.host.as_ref().is_some_and(|host| now < host.cold_until);
+        let flows_per_s = self
+            .catalogue
+            .service(&self.identity.service)
+            .map_or(0.0, |service| service.cold_flows_per_s);
+        !is_cold || flows_per_s <= 0.0 || self.bucket.take(now, flows_per_s)
+    }
+
+    /// Returns how many requests would wait beyond the slots of the host with one more flow, or
+    /// `None` when a slot is free.
+    fn excess(&self) -> Option<u8> {
+        let slots = self.host.as_ref().map_or(0, |host| host.slots as usize);
+        let excess = (self.flows.waiting() + 1).saturating_sub(slots);
+        (excess > 0).then(|| u8::try_from(excess).unwrap_or(u8::MAX))
+    }
+
+    /// Passes the opening of a flow on because all slots are in use. The packet visits a few
+    /// hosts at random, which sees their present load; when all are busy, the least loaded one
+    /// takes the flow. `None` when this host is to take it.
+    fn pass_on_busy(&self, header: &RelayHeader, flow: &FlowId, excess: u8) -> Option<Action> {
+        let mut header = *header;
+        let own_position = u8::try_from(header.visited().len()).unwrap_or(u8::MAX);
+        if excess < header.least_loaded.excess {
+            header.least_loaded = LeastLoaded {
+                position: own_position,
+                excess,
+            };
         }
-        let is_busy = self.flows.active() >= host.slots as usize;
-        let is_cold = now < host.cold_until;
-        if is_busy
-            && self
-                .others
-                .iter()
-                .any(|other| other.accepts_new && !other.is_busy && !visited(header, other.agent))
-            && self.next_host(header, flow).is_some()
+        if header.visited().len() < self.options.busy_visits
+            && let Some((to, header)) = self.next_host(&header, flow)
         {
-            return false;
+            return Some(Action::Relay { to, header });
         }
-        let limits = self.catalogue.service(&self.identity.service);
-        let max_connections = limits.map_or(u32::MAX, |service| service.max_connections);
-        if self.flows.active() >= max_connections as usize {
-            return false;
+        if header.least_loaded.position == own_position {
+            return None;
         }
-        let cold_rate = limits.map_or(0.0, |service| service.cold_flows_per_s);
-        !is_cold || cold_rate <= 0.0 || self.bucket.take(now, cold_rate)
+        let to = *header
+            .visited()
+            .get(usize::from(header.least_loaded.position))?;
+        let header = header.relayed_by(
+            self.identity.address,
+            RelayKind::Assign,
+            Life::default(),
+        )?;
+        Some(Action::Relay { to, header })
     }
 
     fn pass_on(&self, header: &RelayHeader, flow: &FlowId, actions: &mut Vec<Action>) {
@@ -502,7 +553,7 @@
             .others
             .iter()
             .filter(|host| host.accepts_new && host.agent != own && !visited(header, host.agent))
-            .min_by_key(|host| (host.is_busy, !rank(hash, host.agent)))?;
+            .max_by_key(|host| rank(hash, host.agent))?;
         let header = header.relayed_by(own, RelayKind::PassOn, next.life)?;
         Some((next.agent, header))
     }
--- a/crates/coordination/src/passthrough/balancer/mod.rs
+++ b/crates/coordination/src/passthrough/balancer/mod.rs
@@ -201,10 +201,8 @@
         });
         let chosen = usable
             .min_by_key(|record| {
-                let announcement = &record.announcement;
-                let excess = (record.load() + 1).saturating_sub(announcement.slots);
-                let was_tried = Some(announcement.agent) == tried;
-                (was_tried, excess, !rank(hash, announcement.agent))
+                let agent = record.announcement.agent;
+                (Some(agent) == tried, !rank(hash, agent))
             })
             .map(to_placement)?;
         self.hosts.on_sent(chosen.agent);
--- a/crates/protocol/src/passthrough/header.rs
+++ b/crates/protocol/src/passthrough/header.rs
@@ -12,7 +12,9 @@
 //! | 16 | 8 | life of the host that the sender chose, 0 when it does not matter |
 //! | 24 | 4 | IPv4 address of the balancer that took the packet |
 //! | 28 | 1 | number of visited agents |
-//! | 29 | 3 | zero |
+//! | 29 | 1 | position of the least loaded visited agent |
+//! | 30 | 1 | requests that wait for its host beyond its slots |
+//! | 31 | 1 | zero |
 //! | 32 | 16 | IPv4 addresses of the visited agents |
 //! | 48 | 8 | tag: keyed SipHash-2-4 over bytes 0 to 47 and the first 32 bytes of the packet |
 
@@ -64,6 +66,17 @@
     PassOn,
     /// An agent looks for the owner of a flow; the receiver does not look further.
     Search,
+    /// All visited agents were busy, and the receiver is the least loaded of them.
+    Assign,
+}
+
+/// The least loaded agent that an opening packet visited.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LeastLoaded {
+    /// Position among the visited agents.
+    pub position: u8,
+    /// Requests that wait for its host beyond its slots.
+    pub excess: u8,
 }
 
 /// Decoded relay header.
@@ -79,6 +92,8 @@
     pub life: Life,
     /// Balancer that took the packet.
     pub balancer: Ipv4Addr,
+    /// The least loaded of the visited agents.
+    pub least_loaded: LeastLoaded,
     visited: [Ipv4Addr; MAX_VISITED],
     visited_count: u8,
 }
@@ -98,6 +113,10 @@
             catalogue,
             life,
             balancer,
+            least_loaded: LeastLoaded {
+                position: 0,
+                excess: u8::MAX,
+            },
             visited: [Ipv4Addr::UNSPECIFIED; MAX_VISITED],
             visited_count: 0,
         }
@@ -133,6 +152,8 @@
         header[16..24].copy_from_slice(&self.life.0.to_be_bytes());
         header[24..28].copy_from_slice(&self.balancer.octets());
         header[28] = self.visited_count;
+        header[29] = self.least_loaded.position;
+        header[30] = self.least_loaded.excess;
         for (slot, agent) in header[32..TAG_OFFSET].chunks_exact_mut(4).zip(self.visited) {
             slot.copy_from_slice(&agent.octets());
         }
@@ -158,6 +179,7 @@
             0 => RelayKind::Forward,
             1 => RelayKind::PassOn,
             2 => RelayKind::Search,
+            3 => RelayKind::Assign,
             _ => return Err(malformed("relay: unknown kind")),
         };
         let visited_count = header[28];
@@ -177,6 +199,10 @@
             catalogue: CatalogueVersion(be_u64(&header[8..16])),
             life: Life(be_u64(&header[16..24])),
             balancer: Ipv4Addr::from(be_u32(&header[24..28])),
+            least_loaded: LeastLoaded {
+                position: header[29],
+                excess: header[30],
+            },
             visited,
             visited_count,
         };
--- a/crates/protocol/src/passthrough/mod.rs
+++ b/crates/protocol/src/passthrough/mod.rs
@@ -11,7 +11,7 @@
         CatalogueDocument, CatalogueVersion, HostReport, HostReportState, RouteEntry, RouteTarget,
         ServiceEntry, StoreRevision, ZoneStanding,
     },
-    header::{MAX_VISITED, RELAY_HEADER_BYTES, RelayHeader, RelayKind, ServiceTag},
+    header::{LeastLoaded, MAX_VISITED, RELAY_HEADER_BYTES, RelayHeader, RelayKind, ServiceTag},
     message::{
         Announcement, BalancerView, FlowOwner, HostBrief, HostStanding, Life, PeerMessage, Snapshot,
         open, seal,
