Let processes that start together find each other at once

Cause: after a power failure of all machines a balancer that is not a seed got its first announcement half a second after it knew the catalogue; a balancer that knew no failure domains yet sent an empty list of revision 0, which receivers took for knowledge. Change: views say that the failure domains are not known; processes that hear no balancer repeat every 100 ms; a new balancer is named to all agents at once.

--- a/crates/coordination/src/passthrough/agent/control.rs
+++ b/crates/coordination/src/passthrough/agent/control.rs
@@ -31,28 +31,21 @@
 impl Agent {
     /// Processes a report of the backend server; tells whether it is acknowledged. Flows of an
     /// earlier life are reset.
-    pub fn on_report(
-        &mut self,
-        now: Time,
-        report: &HostReport,
-        actions: &mut Vec<Action>,
-    ) -> bool {
+    pub fn on_report(&mut self, now: Time, report: &HostReport, actions: &mut Vec<Action>) -> bool {
         if report.service != self.identity.service || report.address != self.identity.server {
             warn!(event = "report_rejected", instance = &*report.instance, service:% = report.service, address:% = report.address; "report of another backend server");
             return false;
         }
         self.unanswered_since = None;
-        let outcome = match &mut self.host {
-            Some(host) => host.on_report(now, report),
-            None => {
-                self.host = Some(Host::new(now, report));
-                // The first report of a life says that no flow is older than this process.
-                self.saw_birth = report.sequence <= 1;
-                self.control.next_announcement = Time::ZERO;
-                info!(event = "host_known", instance = &*report.instance, sequence = report.sequence, cold_left_ms = report.cold_left_ms; "backend server reported");
-                return true;
-            }
+        let Some(host) = &mut self.host else {
+            self.host = Some(Host::new(now, report));
+            // The first report of a life says that no flow is older than this process.
+            self.saw_birth = report.sequence <= 1;
+            self.control.next_announcement = Time::ZERO;
+            info!(event = "host_known", instance = &*report.instance, sequence = report.sequence, cold_left_ms = report.cold_left_ms; "backend server reported");
+            return true;
         };
+        let outcome = host.on_report(now, report);
         match outcome {
             ReportOutcome::Known => return true,
             ReportOutcome::Outdated => {
@@ -93,13 +86,21 @@
         if now < self.control.next_announcement {
             return Vec::new();
         }
-        self.control.next_announcement = now + self.options.announce_interval;
+        let is_alone = self.peers.live(now).next().is_none();
+        self.control.next_announcement = now
+            + if is_alone {
+                self.options.search_interval
+            } else {
+                self.options.announce_interval
+            };
         self.peers.expire(now);
         let options = self.options;
         self.flows.expire(|entry| {
             let idle = now.since(entry.used);
             match entry.phase {
-                Phase::Open if entry.caller_acknowledgment.is_some() => idle > options.keep_idle_for,
+                Phase::Open if entry.caller_acknowledgment.is_some() => {
+                    idle > options.keep_idle_for
+                }
                 _ => idle > options.keep_ended_for,
             }
         });
@@ -205,7 +206,9 @@
 
     fn on_view(&mut self, now: Time, view: BalancerView) -> Vec<Outgoing> {
         let added = self.peers.on_view(now, &view);
-        self.on_standing(view.standing);
+        if let Some(standing) = view.standing {
+            self.on_standing(standing);
+        }
         if view.catalogue > self.catalogue.version() {
             self.control.ahead = Some(view.balancer);
         } else if let Some(ago_ms) = view.confirmed_ago_ms
--- a/crates/coordination/src/passthrough/agent/flows.rs
+++ b/crates/coordination/src/passthrough/agent/flows.rs
@@ -116,7 +116,11 @@
     }
 
     /// Changes a flow and keeps the count right.
-    pub fn update<T>(&mut self, flow: &FlowId, change: impl FnOnce(&mut OwnFlow) -> T) -> Option<T> {
+    pub fn update<T>(
+        &mut self,
+        flow: &FlowId,
+        change: impl FnOnce(&mut OwnFlow) -> T,
+    ) -> Option<T> {
         let entry = self.flows.get_mut(flow)?;
         let before = entry.counts();
         let result = change(entry);
--- a/crates/coordination/src/passthrough/agent/mod.rs
+++ b/crates/coordination/src/passthrough/agent/mod.rs
@@ -47,6 +47,8 @@
     pub busy_visits: usize,
     /// Interval of announcements.
     pub announce_interval: Span,
+    /// Interval of announcements while no balancer is heard.
+    pub search_interval: Span,
     /// Age of the catalogue above which the agent reads the store itself.
     pub stale_after: Span,
     /// Time for which a stopping agent waits for its flows, within the time that the platform
@@ -70,6 +72,7 @@
             trust_owner_for: Span::from_millis(1_500),
             busy_visits: 3,
             announce_interval: Span::from_millis(250),
+            search_interval: Span::from_millis(100),
             stale_after: Span::from_millis(2_500),
             stop_timeout: Span::from_millis(4_500),
             stop_linger: Span::from_millis(300),
@@ -372,9 +375,10 @@
         actions: &mut Vec<Action>,
     ) {
         let flow = segment.flow_from_caller();
-        let is_own = self.flows.get(&flow).is_some_and(|entry| {
-            !segment.flags.is_ack || entry.matches(segment.acknowledgment)
-        });
+        let is_own = self
+            .flows
+            .get(&flow)
+            .is_some_and(|entry| !segment.flags.is_ack || entry.matches(segment.acknowledgment));
         if is_own {
             self.flows.update(&flow, |entry| {
                 entry.used = now;
@@ -530,11 +534,8 @@
         let to = *header
             .visited()
             .get(usize::from(header.least_loaded.position))?;
-        let header = header.relayed_by(
-            self.identity.address,
-            RelayKind::Assign,
-            Life::default(),
-        )?;
+        let header =
+            header.relayed_by(self.identity.address, RelayKind::Assign, Life::default())?;
         Some(Action::Relay { to, header })
     }
 
--- a/crates/coordination/src/passthrough/balancer/control.rs
+++ b/crates/coordination/src/passthrough/balancer/control.rs
@@ -47,7 +47,13 @@
         if now < self.control.next_view {
             return Vec::new();
         }
-        self.control.next_view = now + self.options.view_interval;
+        let is_alone = self.peers.live(now).next().is_none();
+        self.control.next_view = now
+            + if is_alone {
+                self.options.search_interval
+            } else {
+                self.options.view_interval
+            };
         self.peers.expire(now);
         for agent in self.hosts.expire(now) {
             info!(event = "host_forgotten", agent:%; "host was silent for long");
@@ -125,10 +131,7 @@
     pub fn snapshot(&self, now: Time) -> Snapshot {
         Snapshot {
             catalogue: self.catalogue.document().cloned(),
-            standing: self
-                .catalogue
-                .standing_revision()
-                .map(|_| self.catalogue.standing()),
+            standing: self.catalogue.standing().cloned(),
             confirmed_ago_ms: self.confirmed_ago_ms(now),
             balancers: self.peers.addresses().chain([self.own]).collect(),
             hosts: self
@@ -199,11 +202,8 @@
             to: announcement.agent,
             message: PeerMessage::View(self.view(now, false, Some(&announcement))),
         });
-        let (agent, life, standing) = (
-            announcement.agent,
-            announcement.life,
-            announcement.standing,
-        );
+        let (agent, life, standing) =
+            (announcement.agent, announcement.life, announcement.standing);
         if self.hosts.on_announcement(now, announcement) {
             info!(event = "host_changed", agent:%, life:%, standing:? = standing; "host announced a new state");
         }
@@ -212,7 +212,10 @@
 
     fn on_view(&mut self, now: Time, view: &BalancerView) -> Vec<Outgoing> {
         let added = self.peers.on_view(now, view);
-        let mut outgoing = self.on_standing(now, view.standing.clone());
+        let mut outgoing = match &view.standing {
+            Some(standing) => self.on_standing(now, standing.clone()),
+            None => Vec::new(),
+        };
         if view.catalogue > self.catalogue.version() {
             self.control.ahead = Some(view.balancer);
         } else if let Some(ago_ms) = view.confirmed_ago_ms
@@ -227,6 +230,8 @@
                 to,
                 message: message.clone(),
             }));
+            // Agents announce themselves to the new balancers at once.
+            outgoing.extend(self.views_for_agents(now));
         }
         if view.wants_answer {
             outgoing.push(Outgoing {
@@ -249,14 +254,18 @@
             })
             .collect();
         if self.is_reader(now) {
-            outgoing.extend(self.hosts.iter().map(|record| Outgoing {
-                to: record.announcement.agent,
-                message: PeerMessage::View(self.view(now, false, Some(&record.announcement))),
-            }));
+            outgoing.extend(self.views_for_agents(now));
         }
         outgoing
     }
 
+    fn views_for_agents(&self, now: Time) -> impl Iterator<Item = Outgoing> {
+        self.hosts.iter().map(move |record| Outgoing {
+            to: record.announcement.agent,
+            message: PeerMessage::View(self.view(now, false, Some(&record.announcement))),
+        })
+    }
+
     fn is_reader(&self, now: Time) -> bool {
         self.control
             .read
@@ -276,7 +285,7 @@
             is_reader: self.is_reader(now),
             wants_answer,
             catalogue: self.catalogue.version(),
-            standing: self.catalogue.standing(),
+            standing: self.catalogue.standing().cloned(),
             confirmed_ago_ms: self.confirmed_ago_ms(now),
             balancers: self
                 .peers
--- a/crates/coordination/src/passthrough/balancer/mod.rs
+++ b/crates/coordination/src/passthrough/balancer/mod.rs
@@ -33,6 +33,9 @@
     pub fresh_for: Span,
     /// Interval of the signs of life between balancers.
     pub view_interval: Span,
+    /// Interval of the signs of life while no other balancer is heard, so that processes that
+    /// start together find each other at once.
+    pub search_interval: Span,
     /// Balancers that read the store for all others; two, so that one can be lost.
     pub readers: usize,
     /// Time without any usable host after which a starting balancer reports ready all the same.
@@ -48,6 +51,7 @@
             remember_for: Span::from_secs(15),
             fresh_for: Span::from_secs(4),
             view_interval: Span::from_millis(500),
+            search_interval: Span::from_millis(100),
             readers: 2,
             ready_without_hosts_after: Span::from_secs(2),
         }
@@ -162,8 +166,7 @@
     /// Remembers the owner of a flow.
     pub fn on_owner(&mut self, now: Time, flow: FlowId, agent: Ipv4Addr) {
         let life = self.hosts.life(agent);
-        self.placements
-            .insert(now, flow, Placement { agent, life });
+        self.placements.insert(now, flow, Placement { agent, life });
     }
 
     /// A first opening packet is dropped without an answer, because its route may be newer than
@@ -213,9 +216,10 @@
     /// Returns the agent that probably owns an open flow.
     fn find(&mut self, now: Time, flow: &FlowId, service: &ServiceName) -> Option<Placement> {
         if let Some(placement) = self.placements.touch(now, flow).copied() {
-            let is_present = self.hosts.get(placement.agent).is_none_or(|record| {
-                record.announcement.standing != HostStanding::Gone
-            });
+            let is_present = self
+                .hosts
+                .get(placement.agent)
+                .is_none_or(|record| record.announcement.standing != HostStanding::Gone);
             if is_present {
                 return Some(placement);
             }
--- a/crates/coordination/src/passthrough/catalogue.rs
+++ b/crates/coordination/src/passthrough/catalogue.rs
@@ -4,8 +4,7 @@
     super::flow_hash,
     cardamomloom_core::{DomainName, ServiceName, Span, Time},
     cardamomloom_protocol::passthrough::{
-        CatalogueDocument, CatalogueVersion, FlowId, RouteEntry, ServiceEntry, StoreRevision,
-        ZoneStanding,
+        CatalogueDocument, CatalogueVersion, FlowId, RouteEntry, ServiceEntry, ZoneStanding,
     },
     std::{collections::HashMap, net::SocketAddrV4},
 };
@@ -95,14 +94,8 @@
 
     /// Returns the failure domains that are out.
     #[must_use]
-    pub fn standing(&self) -> ZoneStanding {
-        self.standing.clone().unwrap_or_default()
-    }
-
-    /// Returns the revision of the store at which the failure domains were read.
-    #[must_use]
-    pub fn standing_revision(&self) -> Option<StoreRevision> {
-        self.standing.as_ref().map(|standing| standing.revision)
+    pub const fn standing(&self) -> Option<&ZoneStanding> {
+        self.standing.as_ref()
     }
 
     /// Tells whether a failure domain is out of service.
--- a/crates/coordination/src/passthrough/hosts.rs
+++ b/crates/coordination/src/passthrough/hosts.rs
@@ -107,11 +107,11 @@
         }
         let is_change =
             old.life != new.life || old.standing != new.standing || old.service != new.service;
-        if old.service != new.service {
+        if old.service == new.service {
+            *present = record;
+        } else {
             self.remove(agent);
             self.insert(record);
-        } else {
-            *present = record;
         }
         is_change
     }
--- a/crates/coordination/src/passthrough/placement.rs
+++ b/crates/coordination/src/passthrough/placement.rs
@@ -1,9 +1,6 @@
 //! Rendezvous hashing of flows over the agents of a service.
 
-use {
-    cardamomloom_protocol::passthrough::FlowId,
-    std::net::Ipv4Addr,
-};
+use {cardamomloom_protocol::passthrough::FlowId, std::net::Ipv4Addr};
 
 /// Returns the hash of a flow; every process computes the same one.
 #[must_use]
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -3,8 +3,7 @@
 use {
     cardamomloom_core::error::Result,
     cardamomloom_daemon::{
-        logging,
-        passthrough, runtime,
+        logging, passthrough, runtime,
         settings::{AnySettings, load},
     },
     gumdrop::Options,
--- a/crates/daemon/src/passthrough/agent.rs
+++ b/crates/daemon/src/passthrough/agent.rs
@@ -130,7 +130,6 @@
             Event::Catalogue(document) => self.agent.on_catalogue(document),
             Event::Standing(standing) => self.agent.on_standing(standing),
             Event::StoreConfirmed => self.agent.on_store_confirmed(now),
-            Event::Balancers(balancers) => self.agent.add_peers(now, &balancers),
             Event::Copied(snapshot) => {
                 self.shell.copier.finish();
                 if let Some(snapshot) = snapshot {
@@ -187,11 +186,12 @@
         while may_have_more {
             may_have_more = self.shell.data.receive(&mut self.received);
             for (datagram, _) in self.received.datagrams() {
-                let decoded = RelayHeader::decode(self.io.key, datagram)
-                    .ok()
-                    .and_then(|(header, packet)| {
-                        Some((header, self.io.format.parse(packet)?, packet))
-                    });
+                let decoded =
+                    RelayHeader::decode(self.io.key, datagram)
+                        .ok()
+                        .and_then(|(header, packet)| {
+                            Some((header, self.io.format.parse(packet)?, packet))
+                        });
                 let Some((header, segment, packet)) = decoded else {
                     count_drop("malformed");
                     continue;
--- a/crates/daemon/src/passthrough/balancer.rs
+++ b/crates/daemon/src/passthrough/balancer.rs
@@ -107,7 +107,6 @@
                 self.send(outgoing);
             }
             Event::StoreConfirmed => self.balancer.on_store_confirmed(now),
-            Event::Balancers(balancers) => self.balancer.add_peers(now, &balancers),
             Event::Copied(snapshot) => {
                 self.shell.copier.finish();
                 if let Some(snapshot) = snapshot {
--- a/crates/daemon/src/passthrough/node.rs
+++ b/crates/daemon/src/passthrough/node.rs
@@ -60,8 +60,6 @@
     Standing(ZoneStanding),
     /// The store confirmed everything that was sent before.
     StoreConfirmed,
-    /// The store named balancers.
-    Balancers(Vec<Ipv4Addr>),
     /// A peer answered.
     Copied(Option<Box<Snapshot>>),
     /// A process asks for what this one knows.
@@ -96,9 +94,7 @@
 
 impl Shell {
     /// Binds sockets and starts the tasks that produce events; returns the events too.
-    pub async fn start(
-        settings: &PassThroughSettings,
-    ) -> Result<(Self, mpsc::Receiver<Event>)> {
+    pub async fn start(settings: &PassThroughSettings) -> Result<(Self, mpsc::Receiver<Event>)> {
         let clock = MonotonicClock::start();
         let address = settings.address();
         let data = Rc::new(Port::bind(settings.data_address)?);
@@ -167,7 +163,10 @@
     pub fn send(&self, outgoing: Vec<Outgoing>) {
         let mut last: Option<(PeerMessage, Vec<u8>)> = None;
         for Outgoing { to, message } in outgoing {
-            if last.as_ref().is_none_or(|(previous, _)| *previous != message) {
+            if last
+                .as_ref()
+                .is_none_or(|(previous, _)| *previous != message)
+            {
                 match seal(self.key, &message) {
                     Ok(datagram) => last = Some((message, datagram)),
                     Err(error) => {
@@ -288,9 +287,8 @@
 }
 
 fn spawn_signals(events: &mpsc::Sender<Event>) -> Result<()> {
-    let listen = |kind| {
-        signal(kind).map_err(|error| io(format!("runtime: cannot handle signals: {error}")))
-    };
+    let listen =
+        |kind| signal(kind).map_err(|error| io(format!("runtime: cannot handle signals: {error}")));
     let mut terminate = listen(SignalKind::terminate())?;
     let mut interrupt = listen(SignalKind::interrupt())?;
     let mut hangup = listen(SignalKind::hangup())?;
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -2,9 +2,7 @@
 
 mod pass_through;
 
-pub use pass_through::{
-    Delivery, PassThroughAgentSettings, PassThroughRole, PassThroughSettings,
-};
+pub use pass_through::{Delivery, PassThroughAgentSettings, PassThroughRole, PassThroughSettings};
 
 use {
     cardamomloom_core::{
--- a/crates/daemon/src/settings/pass_through.rs
+++ b/crates/daemon/src/settings/pass_through.rs
@@ -2,10 +2,7 @@
 
 use {
     super::{LogLevel, Result, key_from_hex},
-    cardamomloom_core::{
-        DomainName, ServiceName,
-        error::invalid_argument,
-    },
+    cardamomloom_core::{DomainName, ServiceName, error::invalid_argument},
     cardamomloom_protocol::forward::DatagramKey,
     serde::Deserialize,
     std::{
--- a/crates/protocol/src/passthrough/header.rs
+++ b/crates/protocol/src/passthrough/header.rs
@@ -53,7 +53,8 @@
         let mut hasher = SipHasher24::new();
         hasher.write(service.as_str().as_bytes());
         let hash = hasher.finish();
-        Self((hash ^ (hash >> 32)) as u32 | 1)
+        let [.., a, b, c, d] = (hash ^ (hash >> 32)).to_be_bytes();
+        Self(u32::from_be_bytes([a, b, c, d]) | 1)
     }
 }
 
@@ -190,7 +191,10 @@
             return Err(malformed("relay: authentication tag does not match"));
         }
         let mut visited = [Ipv4Addr::UNSPECIFIED; MAX_VISITED];
-        for (agent, slot) in visited.iter_mut().zip(header[32..TAG_OFFSET].chunks_exact(4)) {
+        for (agent, slot) in visited
+            .iter_mut()
+            .zip(header[32..TAG_OFFSET].chunks_exact(4))
+        {
             *agent = Ipv4Addr::from(be_u32(slot));
         }
         let decoded = Self {
--- a/crates/protocol/src/passthrough/message.rs
+++ b/crates/protocol/src/passthrough/message.rs
@@ -98,8 +98,8 @@
     pub wants_answer: bool,
     /// Catalogue that the balancer knows.
     pub catalogue: CatalogueVersion,
-    /// Failure domains that are out.
-    pub standing: ZoneStanding,
+    /// Failure domains that are out, or `None` when the balancer does not know them yet.
+    pub standing: Option<ZoneStanding>,
     /// Time since the store confirmed the above, or `None` when it never did.
     pub confirmed_ago_ms: Option<u32>,
     /// Balancers that the sender knows.
