Register balancers in the store, and back off from a store that fails

Change: balancers keep an entry in the store, each process reads the entries once at its start, entries of balancers that were silent for 60 s are removed; failed calls back off to 1.2 s.

--- a/crates/coordination/src/passthrough/agent/control.rs
+++ b/crates/coordination/src/passthrough/agent/control.rs
@@ -6,7 +6,7 @@
     cardamomloom_core::{Span, Time},
     cardamomloom_protocol::passthrough::{
         Announcement, BalancerView, CatalogueDocument, HostReport, HostStanding, PeerMessage,
-        Snapshot, ZoneStanding,
+        Registration, Snapshot, ZoneStanding,
     },
     log::{info, warn},
     std::net::Ipv4Addr,
@@ -189,15 +189,21 @@
         })
     }
 
-    /// Adds balancers that may exist.
-    pub fn add_peers(&mut self, now: Time, balancers: &[Ipv4Addr]) {
-        for balancer in balancers {
-            if self.peers.add(now, *balancer) {
+    /// Takes over the balancers that are registered in the store.
+    pub fn on_registry(&mut self, now: Time, registrations: &[Registration]) {
+        for registration in registrations {
+            if self.peers.add(now, registration.address) {
                 self.control.next_announcement = Time::ZERO;
             }
         }
     }
 
+    /// Tells whether a balancer was heard lately.
+    #[must_use]
+    pub fn has_live_peer(&self, now: Time) -> bool {
+        self.peers.live(now).next().is_some()
+    }
+
     /// Returns the number of active flows, hosts and balancers.
     #[must_use]
     pub fn counts(&self) -> (usize, usize, usize) {
--- a/crates/coordination/src/passthrough/balancer/control.rs
+++ b/crates/coordination/src/passthrough/balancer/control.rs
@@ -4,7 +4,8 @@
     super::Balancer,
     cardamomloom_core::{Span, Time},
     cardamomloom_protocol::passthrough::{
-        Announcement, BalancerView, CatalogueDocument, PeerMessage, Snapshot, ZoneStanding,
+        Announcement, BalancerView, CatalogueDocument, PeerMessage, Registration, Snapshot,
+        ZoneStanding,
     },
     log::info,
     std::net::Ipv4Addr,
@@ -180,13 +181,29 @@
         self.on_tick(now)
     }
 
-    /// Adds balancers that may exist.
-    pub fn add_peers(&mut self, now: Time, balancers: &[Ipv4Addr]) {
-        for balancer in balancers {
-            if self.peers.add(now, *balancer) {
+    /// Takes over the balancers that are registered in the store, and returns the entries to
+    /// remove: those of balancers that were silent for as long as this process has run.
+    pub fn on_registry(&mut self, now: Time, registrations: &[Registration]) -> Vec<Registration> {
+        for registration in registrations {
+            if self.peers.add(now, registration.address) {
                 self.control.next_view = Time::ZERO;
             }
         }
+        let may_judge = now.since(self.started) >= self.options.registration_timeout
+            && self.is_reader(now)
+            && self.peers.readers_before(now, self.own) == 0;
+        registrations
+            .iter()
+            .filter(|entry| entry.address != self.own && !self.peers.was_heard(entry.address))
+            .filter(|_| may_judge)
+            .copied()
+            .collect()
+    }
+
+    /// Tells whether a balancer was heard lately.
+    #[must_use]
+    pub fn has_live_peer(&self, now: Time) -> bool {
+        self.peers.live(now).next().is_some()
     }
 
     /// Returns the number of known hosts and balancers.
--- a/crates/coordination/src/passthrough/balancer/mod.rs
+++ b/crates/coordination/src/passthrough/balancer/mod.rs
@@ -38,6 +38,8 @@
     pub search_interval: Span,
     /// Balancers that read the store for all others; two, so that one can be lost.
     pub readers: usize,
+    /// Silence after which the registration of a balancer is removed.
+    pub registration_timeout: Span,
     /// Time without any usable host after which a starting balancer reports ready all the same.
     pub ready_without_hosts_after: Span,
 }
@@ -53,6 +55,7 @@
             view_interval: Span::from_millis(500),
             search_interval: Span::from_millis(100),
             readers: 2,
+            registration_timeout: Span::from_secs(60),
             ready_without_hosts_after: Span::from_secs(2),
         }
     }
--- a/crates/coordination/src/passthrough/peers.rs
+++ b/crates/coordination/src/passthrough/peers.rs
@@ -134,6 +134,14 @@
             .count()
     }
 
+    /// Tells whether a balancer was heard within the time for which balancers are kept.
+    #[must_use]
+    pub fn was_heard(&self, balancer: Ipv4Addr) -> bool {
+        self.peers
+            .get(&balancer)
+            .is_some_and(|peer| peer.heard.is_some())
+    }
+
     /// Returns the number of balancers.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/daemon/src/passthrough/agent.rs
+++ b/crates/daemon/src/passthrough/agent.rs
@@ -129,6 +129,10 @@
             }
             Event::Catalogue(document) => self.agent.on_catalogue(document),
             Event::Standing(standing) => self.agent.on_standing(standing),
+            Event::Registry(registrations) => {
+                self.agent.on_registry(now, &registrations);
+                self.announce(now);
+            }
             Event::StoreConfirmed => self.agent.on_store_confirmed(now),
             Event::Copied(snapshot) => {
                 self.shell.copier.finish();
--- a/crates/daemon/src/passthrough/balancer.rs
+++ b/crates/daemon/src/passthrough/balancer.rs
@@ -4,6 +4,7 @@
     super::{
         Result,
         node::{Event, Shell, run_loop},
+        registry,
         sockets::{Outbox, Port},
         store_reader::ReadMode,
     },
@@ -106,6 +107,14 @@
                 let outgoing = self.balancer.on_standing(now, standing);
                 self.send(outgoing);
             }
+            Event::Registry(registrations) => {
+                let dead = self.balancer.on_registry(now, &registrations);
+                if !dead.is_empty() {
+                    tokio::spawn(registry::remove(self.shell.store.clone(), dead));
+                }
+                let outgoing = self.balancer.on_tick(now);
+                self.send(outgoing);
+            }
             Event::StoreConfirmed => self.balancer.on_store_confirmed(now),
             Event::Copied(snapshot) => {
                 self.shell.copier.finish();
--- a/crates/daemon/src/passthrough/mod.rs
+++ b/crates/daemon/src/passthrough/mod.rs
@@ -5,6 +5,7 @@
 mod balancer;
 mod endpoints;
 mod node;
+mod registry;
 mod sockets;
 mod store_reader;
 
--- a/crates/daemon/src/passthrough/node.rs
+++ b/crates/daemon/src/passthrough/node.rs
@@ -2,19 +2,19 @@
 
 use {
     super::{
-        Result, endpoints,
+        Result, endpoints, registry,
         sockets::Port,
         store_reader::{ReadMode, StoreReader},
     },
-    crate::settings::PassThroughSettings,
+    crate::settings::{PassThroughRole, PassThroughSettings},
     cardamomloom_coordination::passthrough::balancer::Outgoing,
     cardamomloom_core::error::io,
     cardamomloom_platform::store::ObjectStore,
     cardamomloom_protocol::{
         forward::DatagramKey,
         passthrough::{
-            CatalogueDocument, FlowOwner, HostReport, PeerMessage, Snapshot, ZoneStanding, open,
-            seal,
+            CatalogueDocument, FlowOwner, HostReport, PeerMessage, Registration, Snapshot,
+            ZoneStanding, open, seal,
         },
     },
     cardamomloom_transport::{clock::MonotonicClock, udp::ReceiveBatch},
@@ -60,6 +60,8 @@
     Standing(ZoneStanding),
     /// The store confirmed everything that was sent before.
     StoreConfirmed,
+    /// The store answered with the balancers that are registered.
+    Registry(Vec<Registration>),
     /// A peer answered.
     Copied(Option<Box<Snapshot>>),
     /// A process asks for what this one knows.
@@ -90,6 +92,8 @@
     pub read_mode: watch::Sender<ReadMode>,
     /// Copies from peers.
     pub copier: Copier,
+    /// Client of the store.
+    pub store: ObjectStore,
 }
 
 impl Shell {
@@ -109,6 +113,14 @@
         let (read_mode, modes) = watch::channel(ReadMode::Idle);
         let store = ObjectStore::new(settings.store_address, STORE_TIMEOUT)?;
         StoreReader::start(&store, &modes, &events);
+        match settings.role {
+            PassThroughRole::Balancer { .. } => {
+                tokio::spawn(registry::keep(store.clone(), address, events.clone()));
+            }
+            PassThroughRole::Agent(_) => {
+                tokio::spawn(registry::discover(store.clone(), events.clone()));
+            }
+        }
         spawn_signals(&events)?;
         info!(
             event = "started", node = &*settings.node, address:%, data_address:% = settings.data_address;
@@ -121,6 +133,7 @@
             is_ready,
             read_mode,
             copier: Copier::new(settings.http_port, events)?,
+            store,
         };
         Ok((shell, inbox))
     }
--- a/crates/daemon/src/passthrough/store_reader.rs
+++ b/crates/daemon/src/passthrough/store_reader.rs
@@ -23,8 +23,12 @@
 /// fail are replaced before a change of the configuration must be in force.
 const WATCH_WAIT: Duration = Duration::from_secs(1);
 
-/// Pause after a failed call.
-const RETRY_PAUSE: Duration = Duration::from_millis(250);
+/// Pause after a first failed call; it doubles up to [`MAX_RETRY_PAUSE`], because refused calls
+/// count too.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// Longest pause between failed calls; a change must be in force 3 s after the store is back.
+const MAX_RETRY_PAUSE: Duration = Duration::from_millis(1_200);
 
 /// What a process reads from the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -60,6 +64,7 @@
     confirmations: watch::Sender<bool>,
     domains_out: BTreeSet<DomainName>,
     is_available: bool,
+    retry_pause: Duration,
 }
 
 impl StoreReader {
@@ -83,6 +88,7 @@
                 confirmations,
                 domains_out: BTreeSet::new(),
                 is_available: true,
+                retry_pause: RETRY_PAUSE,
             };
             tokio::spawn(reader.run());
         }
@@ -117,7 +123,8 @@
                 warn!(event = "store_lost", kind = self.subject.kind(); "{error}");
             }
             metrics::counter!("cardamomloom_store_failures_total").increment(1);
-            tokio::time::sleep(RETRY_PAUSE).await;
+            tokio::time::sleep(self.retry_pause).await;
+            self.retry_pause = (self.retry_pause * 2).min(MAX_RETRY_PAUSE);
         }
     }
 
@@ -127,6 +134,7 @@
         if !std::mem::replace(&mut self.is_available, true) {
             info!(event = "store_regained", kind, revision:%; "store answers again");
         }
+        self.retry_pause = RETRY_PAUSE;
         self.domains_out.clear();
         for object in &objects {
             self.apply(object, false).await;
--- a/crates/protocol/src/passthrough/document.rs
+++ b/crates/protocol/src/passthrough/document.rs
@@ -6,7 +6,13 @@
         error::{Error, invalid_argument},
     },
     serde::{Deserialize, Serialize},
-    std::{collections::BTreeSet, fmt, net::SocketAddrV4, str::FromStr, sync::Arc},
+    std::{
+        collections::BTreeSet,
+        fmt,
+        net::{Ipv4Addr, SocketAddrV4},
+        str::FromStr,
+        sync::Arc,
+    },
 };
 
 /// Result of parsing a version.
@@ -110,6 +116,15 @@
     pub domains_out: BTreeSet<DomainName>,
 }
 
+/// Entry of a balancer in the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Registration {
+    /// Address of the balancer.
+    pub address: Ipv4Addr,
+    /// Revision of the entry.
+    pub revision: StoreRevision,
+}
+
 /// What a backend server says of its state.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum HostReportState {
--- a/crates/protocol/src/passthrough/mod.rs
+++ b/crates/protocol/src/passthrough/mod.rs
@@ -8,8 +8,8 @@
 
 pub use {
     document::{
-        CatalogueDocument, CatalogueVersion, HostReport, HostReportState, RouteEntry, RouteTarget,
-        ServiceEntry, StoreRevision, ZoneStanding,
+        CatalogueDocument, CatalogueVersion, HostReport, HostReportState, Registration, RouteEntry,
+        RouteTarget, ServiceEntry, StoreRevision, ZoneStanding,
     },
     header::{LeastLoaded, MAX_VISITED, RELAY_HEADER_BYTES, RelayHeader, RelayKind, ServiceTag},
     message::{
