--- a/crates/standins/src/passthrough/mod.rs
+++ b/crates/standins/src/passthrough/mod.rs
@@ -4,11 +4,13 @@
 mod caller;
 mod format;
 mod host;
+mod oracle;
 mod world;
 
 pub use {
     caller::{Caller, CallerOptions, CallerOutcome},
     format::PlainPackets,
     host::{HostModel, HostOptions, Taken},
-    world::{Load, Tally, Violation, World, WorldOptions},
+    oracle::{Oracle, Tally, Violation},
+    world::{Load, World, WorldOptions},
 };
--- a/crates/standins/src/passthrough/world/oracle.rs
+++ b/crates/standins/src/passthrough/oracle.rs
@@ -1,7 +1,7 @@
 //! Checks what callers and backend servers see against the promises.
 
 use {
-    super::super::CallerOutcome,
+    super::CallerOutcome,
     cardamomloom_core::{DomainName, ServiceName, Span, Time},
     cardamomloom_protocol::passthrough::{FlowId, RouteEntry},
     std::{
@@ -92,9 +92,12 @@
     is_present: bool,
 }
 
+/// Collects what is seen and compares it with the promises.
 #[derive(Debug, Default)]
-pub(super) struct Oracle {
+pub struct Oracle {
+    /// What callers saw.
     pub tally: Tally,
+    /// Promises that were broken.
     pub violations: Vec<Violation>,
     routes: HashMap<SocketAddrV4, RouteHistory>,
     store_returned: Option<Time>,
@@ -109,10 +112,13 @@
 }
 
 impl Oracle {
+    /// Returns the openings that the backend server beside an agent took.
+    #[must_use]
     pub fn openings_at(&self, agent: Ipv4Addr) -> usize {
         self.openings.get(&agent).copied().unwrap_or_default()
     }
 
+    /// Notes a change of a route, or its removal.
     pub fn on_route(&mut self, now: Time, address: SocketAddrV4, present: Option<&RouteEntry>) {
         let history = self.routes.entry(address).or_insert_with(|| RouteHistory {
             services: HashSet::new(),
@@ -127,6 +133,7 @@
             .extend(targets.map(|target| target.service.clone()));
     }
 
+    /// Notes that a failure domain was taken out or back.
     pub fn on_domain(&mut self, now: Time, domain: &DomainName, is_out: bool) {
         if is_out {
             self.domains_out.entry(domain.clone()).or_insert(now);
@@ -135,6 +142,7 @@
         }
     }
 
+    /// Notes that the store went away or returned.
     pub fn on_store(&mut self, now: Time, is_up: bool) {
         self.is_store_down = !is_up;
         self.store_returned = Some(now);
@@ -149,15 +157,18 @@
         has_settled && !self.is_store_down
     }
 
+    /// Notes that an agent acknowledged a drain.
     pub fn on_drain_acknowledged(&mut self, now: Time, agent: Ipv4Addr) {
         self.drained.entry(agent).or_insert(now);
     }
 
+    /// Notes that a backend server starts.
     pub fn on_server_start(&mut self, agent: Ipv4Addr) {
         self.drained.remove(&agent);
         self.cold.remove(&agent);
     }
 
+    /// Checks a flow that a backend server takes.
     pub fn on_opening(
         &mut self,
         now: Time,
@@ -200,6 +211,7 @@
         }
     }
 
+    /// Checks a flow that a cold backend server takes.
     pub fn on_cold_opening(&mut self, now: Time, agent: Ipv4Addr, flows_per_s: f64) {
         let recent = self.cold.entry(agent).or_default();
         recent.push_back(now);
@@ -219,23 +231,27 @@
         }
     }
 
+    /// Checks that a request runs only once.
     pub fn on_request(&mut self, now: Time, number: u64) {
         if !self.requests.insert(number) {
             self.violate(now, "at most once", format!("request {number} ran again"));
         }
     }
 
+    /// Checks the reset of an open flow.
     pub fn on_reset(&mut self, now: Time, flow: FlowId, is_held: bool) {
         if is_held {
             self.violate(now, "established flow", format!("{flow} was reset"));
         }
     }
 
+    /// Notes a request that a backend server shed.
     pub fn on_shed(&mut self, flow: FlowId) {
         self.tally.shed += 1;
         self.shed.insert(flow);
     }
 
+    /// Notes a flow whose backend server holds it and gets none of its packets.
     pub fn on_unreachable(&mut self, now: Time, flow: FlowId, agent: Ipv4Addr) {
         if self.shed.contains(&flow) {
             return;
@@ -247,6 +263,7 @@
         );
     }
 
+    /// Notes how a flow ended.
     pub fn on_outcome(&mut self, now: Time, flow: FlowId, outcome: CallerOutcome, slowest: Span) {
         match outcome {
             CallerOutcome::Served => {
--- a/crates/standins/src/passthrough/world/mod.rs
+++ b/crates/standins/src/passthrough/world.rs
@@ -1,12 +1,11 @@
 //! Balancers, agents, backend servers and callers in virtual time, with an oracle that checks what
 //! callers and backend servers see.
 
-mod oracle;
-
-pub use oracle::{Tally, Violation};
-
 use {
-    super::{Caller, CallerOptions, CallerOutcome, HostModel, HostOptions, PlainPackets, Taken},
+    super::{
+        Caller, CallerOptions, CallerOutcome, HostModel, HostOptions, Oracle, PlainPackets, Taken,
+        Tally, Violation,
+    },
     cardamomloom_coordination::passthrough::{
         agent::{Action, Agent, AgentIdentity, AgentOptions},
         balancer::{Balancer, BalancerOptions, Outgoing, Verdict},
@@ -18,7 +17,6 @@
         PacketFormat, PeerMessage, RelayHeader, RouteEntry, RouteTarget, Segment, ServiceEntry,
         StoreRevision, ZoneStanding,
     },
-    oracle::Oracle,
     rand::{RngExt, SeedableRng},
     rand_chacha::ChaCha8Rng,
     std::{
