Log decisions on flows within a budget; histogram of answer times; reload of settings

Cause: a failed request could not be traced from the logs, SIGHUP and silent changes of the settings were ignored.

--- a/crates/coordination/src/passthrough/agent/control.rs
+++ b/crates/coordination/src/passthrough/agent/control.rs
@@ -200,10 +200,13 @@
         }
     }
 
-    /// Tells whether a balancer was heard lately.
-    #[must_use]
-    pub fn has_live_peer(&self, now: Time) -> bool {
-        self.peers.live(now).next().is_some()
+    /// Adds processes that may be balancers.
+    pub fn on_seeds(&mut self, now: Time, seeds: &[Ipv4Addr]) {
+        for seed in seeds {
+            if self.peers.add(now, *seed) {
+                self.control.next_announcement = Time::ZERO;
+            }
+        }
     }
 
     /// Returns the number of active flows, hosts and balancers.
--- a/crates/coordination/src/passthrough/agent/flows.rs
+++ b/crates/coordination/src/passthrough/agent/flows.rs
@@ -44,6 +44,8 @@
     /// Whether the caller waits for the backend server: from the opening packet, or data of the
     /// caller, to the first data of the backend server.
     pub is_waiting: bool,
+    /// Since when the caller waits.
+    pub asked: Time,
     /// Processes to tell that the flow is here.
     pub inform: Vec<Ipv4Addr>,
 }
@@ -54,6 +56,7 @@
             is_waiting: matches!(phase, Phase::Opening { .. }),
             phase,
             opened: now,
+            asked: now,
             used: now,
             server_sequence: None,
             caller_acknowledgment: None,
--- a/crates/coordination/src/passthrough/agent/mod.rs
+++ b/crates/coordination/src/passthrough/agent/mod.rs
@@ -185,6 +185,8 @@
     needs_report: bool,
     owners: FlowMemory<Ipv4Addr>,
     others: Vec<HostBrief>,
+    /// Times from an opening or a request to the first data of its answer.
+    answer_times: Vec<Span>,
     control: control::ControlState,
 }
 
@@ -215,6 +217,7 @@
             needs_report: false,
             owners: FlowMemory::new(options.remembered_owners, options.trust_owner_for),
             others: Vec::new(),
+            answer_times: Vec::new(),
             control: control::ControlState::default(),
             identity,
             options,
@@ -272,7 +275,9 @@
             entry.used = now;
             entry.server_sequence = Some(segment.sequence);
             entry.is_server_finished |= segment.flags.is_fin;
-            entry.is_waiting &= segment.payload_bytes == 0;
+            if segment.payload_bytes > 0 && std::mem::take(&mut entry.is_waiting) {
+                self.answer_times.push(now.since(entry.asked));
+            }
             if matches!(entry.phase, Phase::Opening { .. } | Phase::Probing) {
                 entry.phase = Phase::Open;
             }
@@ -283,6 +288,11 @@
         actions.push(Action::Answer);
     }
 
+    /// Returns the times that callers waited for the first data of an answer since the last call.
+    pub fn take_answer_times(&mut self) -> std::vec::Drain<'_, Span> {
+        self.answer_times.drain(..)
+    }
+
     /// Remembers the owner of a flow.
     pub fn on_owner(&mut self, now: Time, flow: FlowId, agent: Ipv4Addr) {
         if agent != self.identity.address {
@@ -384,7 +394,9 @@
             self.flows.update(&flow, |entry| {
                 entry.used = now;
                 entry.is_caller_finished |= segment.flags.is_fin;
-                entry.is_waiting |= segment.payload_bytes > 0;
+                if segment.payload_bytes > 0 && !std::mem::replace(&mut entry.is_waiting, true) {
+                    entry.asked = now;
+                }
                 if segment.flags.is_ack {
                     entry.caller_acknowledgment = Some(segment.acknowledgment);
                 }
--- a/crates/coordination/src/passthrough/balancer/control.rs
+++ b/crates/coordination/src/passthrough/balancer/control.rs
@@ -156,6 +156,12 @@
         self.peers.informed(now, self.control.turn)
     }
 
+    /// Returns the time since the store confirmed the catalogue.
+    #[must_use]
+    pub fn confirmed_ago(&self, now: Time) -> Option<Span> {
+        self.catalogue.confirmed_ago(now)
+    }
+
     /// Tells whether this balancer reads the store, for itself or for others.
     #[must_use]
     pub fn should_read(&self, now: Time) -> bool {
@@ -200,10 +206,13 @@
             .collect()
     }
 
-    /// Tells whether a balancer was heard lately.
-    #[must_use]
-    pub fn has_live_peer(&self, now: Time) -> bool {
-        self.peers.live(now).next().is_some()
+    /// Adds processes that may be balancers.
+    pub fn on_seeds(&mut self, now: Time, seeds: &[Ipv4Addr]) {
+        for seed in seeds {
+            if self.peers.add(now, *seed) {
+                self.control.next_view = Time::ZERO;
+            }
+        }
     }
 
     /// Returns the number of known hosts and balancers.
--- a/crates/daemon/src/logging/mod.rs
+++ b/crates/daemon/src/logging/mod.rs
@@ -25,6 +25,7 @@
         .level_for("cardamomloom_daemon", level.into())
         .level_for("cardamomloom_transport", level.into())
         .level_for("cardamomloom_coordination", level.into())
+        .level_for("cardamomloom_platform", level.into())
         .format(|out, message, record| out.finish(format_args!("{}", line(message, record))))
         .chain(std::io::stdout())
         .apply()
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -7,7 +7,10 @@
         settings::{AnySettings, load},
     },
     gumdrop::Options,
-    std::{path::PathBuf, process::ExitCode},
+    std::{
+        path::{Path, PathBuf},
+        process::ExitCode,
+    },
 };
 
 /// Layer-4 load balancer daemon: a balancer or an agent, by its settings.
@@ -35,7 +38,7 @@
         eprintln!("cardamomloomd: --settings FILE is required; see --help");
         return ExitCode::from(USAGE_EXIT_CODE);
     };
-    let outcome = load(&path).and_then(|settings| start(&settings, arguments.check));
+    let outcome = load(&path).and_then(|settings| start(&path, &settings, arguments.check));
     match outcome {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
@@ -45,7 +48,7 @@
     }
 }
 
-fn start(settings: &AnySettings, check_only: bool) -> Result<()> {
+fn start(path: &Path, settings: &AnySettings, check_only: bool) -> Result<()> {
     if check_only {
         println!("settings are valid");
         return Ok(());
@@ -53,6 +56,6 @@
     logging::install(settings.log_level())?;
     match settings {
         AnySettings::Termination(settings) => runtime::run(settings),
-        AnySettings::PassThrough(settings) => passthrough::run(settings),
+        AnySettings::PassThrough(settings) => passthrough::run(path, settings),
     }
 }
--- a/crates/daemon/src/passthrough/agent.rs
+++ b/crates/daemon/src/passthrough/agent.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         Result,
+        decisions::LineBudget,
         node::{Event, Shell, run_loop},
         sockets::{Outbox, Port},
         store_reader::ReadMode,
@@ -15,7 +16,7 @@
     cardamomloom_platform::packet::PlatformPackets,
     cardamomloom_protocol::{
         forward::DatagramKey,
-        passthrough::{FlowOwner, Life, PacketFormat, RelayHeader, Segment},
+        passthrough::{FlowOwner, Life, PacketFormat, RelayHeader, RelayKind, Segment},
     },
     cardamomloom_transport::udp::{ReceiveBatch, SendBatch},
     log::info,
@@ -67,6 +68,8 @@
             sender: SendBatch::default(),
             to_network: Outbox::default(),
             to_server: Outbox::default(),
+            notable: LineBudget::notable(),
+            samples: LineBudget::samples(),
         },
         shell,
         received: ReceiveBatch::default(),
@@ -107,6 +110,8 @@
     sender: SendBatch,
     to_network: Outbox,
     to_server: Outbox,
+    notable: LineBudget,
+    samples: LineBudget,
 }
 
 impl AgentNode {
@@ -152,7 +157,7 @@
                 let is_acknowledged = self.agent.on_report(now, &report, &mut self.actions);
                 // The backend server may have given up.
                 let _ = reply.send(is_acknowledged);
-                self.perform(&mut []);
+                self.perform(now, &[]);
                 self.announce(now);
             }
             Event::Departure(instance, reply) => {
@@ -160,7 +165,7 @@
                 let _ = reply.send(true);
                 self.announce(now);
             }
-            Event::Reload => info!(event = "reload"; "settings are read at the next start"),
+            Event::Seeds(seeds) => self.agent.on_seeds(now, &seeds),
             Event::Stop => {
                 info!(event = "stopping"; "agent stops when its flows have ended");
                 self.agent.stop(now);
@@ -203,7 +208,7 @@
                 self.agent
                     .on_relayed(now, &header, &segment, packet, &mut self.actions);
                 self.io
-                    .perform(&mut self.actions, packet, &self.shell.control);
+                    .perform(now, &mut self.actions, packet, &self.shell.control);
             }
             self.io.flush(&self.shell.data);
         }
@@ -228,15 +233,15 @@
                 self.agent
                     .on_server_packet(now, &segment, &restored, &mut self.actions);
                 self.io
-                    .perform(&mut self.actions, &restored, &self.shell.control);
+                    .perform(now, &mut self.actions, &restored, &self.shell.control);
             }
             self.io.flush(&self.shell.data);
         }
     }
 
-    fn perform(&mut self, packet: &mut [u8]) {
+    fn perform(&mut self, now: Time, packet: &[u8]) {
         self.io
-            .perform(&mut self.actions, packet, &self.shell.control);
+            .perform(now, &mut self.actions, packet, &self.shell.control);
         self.io.flush(&self.shell.data);
     }
 
@@ -249,7 +254,7 @@
             self.has_timer = true;
             after!(due.since(now).to_duration(), [cx], on_opening_timer());
         }
-        self.perform(&mut []);
+        self.perform(now, &[]);
     }
 
     fn on_opening_timer(&mut self, cx: CX![]) {
@@ -258,9 +263,15 @@
         self.start_timer(cx, now);
     }
 
-    /// Brings reading and copying in line with the state.
+    /// Brings reading, copying and metrics in line with the state.
     fn update(&mut self, now: Time) {
         self.shell.is_ready.store(true, Ordering::Relaxed);
+        let answer_times = metrics::histogram!("cardamomloom_answer_seconds");
+        for span in self.agent.take_answer_times() {
+            answer_times.record(span.to_duration());
+        }
+        let (open_flows, _, _) = self.agent.counts();
+        metrics::gauge!("cardamomloom_open_flows").set(open_flows as f64);
         let mode = if self.agent.should_read(now) {
             ReadMode::Watch
         } else {
@@ -283,11 +294,13 @@
     /// Collects the datagrams of actions about a packet.
     fn perform(
         &mut self,
+        now: Time,
         actions: &mut Vec<Action>,
         packet: &[u8],
         control: &super::node::ControlPort,
     ) {
         for action in actions.drain(..) {
+            self.log(now, &action, packet);
             match action {
                 Action::Deliver => self.to_server.push(self.server, &[], packet),
                 Action::Answer => {
@@ -307,7 +320,6 @@
                 ),
                 Action::Reset { flow, sequence } => {
                     metrics::counter!("cardamomloom_resets_total").increment(1);
-                    info!(event = "flow_reset", flow:%; "backend server no longer holds the flow");
                     let to = SocketAddrV4::new(*flow.caller.ip(), self.data_port);
                     let reset = self.format.encode(&Segment::reset(&flow, sequence), &[]);
                     self.to_network.push(to, &reset, &[]);
@@ -317,6 +329,46 @@
         }
     }
 
+    /// Logs a decision: all that a caller feels, and samples of the usual path.
+    fn log(&mut self, now: Time, action: &Action, packet: &[u8]) {
+        let budget = match action {
+            Action::Answer | Action::Inform { .. } => return,
+            Action::Deliver => &mut self.samples,
+            Action::Relay { header, .. } if header.kind != RelayKind::Search => &mut self.samples,
+            _ => &mut self.notable,
+        };
+        if !budget.take(now) {
+            return;
+        }
+        let packet = match action {
+            Action::RelayStored { packet, .. } => packet,
+            _ => packet,
+        };
+        let segment = self.format.parse(packet);
+        let flow = segment.map(|segment| segment.flow_from_caller().to_string());
+        let opens = segment.is_some_and(|segment| segment.is_opening());
+        match action {
+            Action::Deliver => {
+                info!(event = "packet_delivered", flow, opens; "packet goes to the backend server");
+            }
+            Action::Relay { to, header } | Action::RelayStored { to, header, .. } => info!(
+                event = "packet_relayed", flow, opens, kind:? = header.kind, to:%,
+                balancer:% = header.balancer, catalogue:% = header.catalogue,
+                visited = header.visited().len();
+                "packet goes to another agent"
+            ),
+            Action::Reset { flow, sequence } => info!(
+                event = "flow_reset", flow:%, sequence;
+                "backend server no longer holds the flow"
+            ),
+            Action::Drop(reason) => info!(
+                event = "packet_dropped", flow, opens, cause = reason.label();
+                "packet is dropped"
+            ),
+            Action::Answer | Action::Inform { .. } => {}
+        }
+    }
+
     fn relay(&mut self, to: std::net::Ipv4Addr, header: &RelayHeader, packet: &[u8]) {
         let header = header.encode(self.key, packet);
         self.to_network
--- a/crates/daemon/src/passthrough/balancer.rs
+++ b/crates/daemon/src/passthrough/balancer.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         Result,
+        decisions::LineBudget,
         node::{Event, Shell, run_loop},
         registry,
         sockets::{Outbox, Port},
@@ -59,6 +60,8 @@
         received: ReceiveBatch::default(),
         sender: SendBatch::default(),
         outbox: Outbox::default(),
+        notable: LineBudget::notable(),
+        samples: LineBudget::samples(),
         is_ready: false,
         is_stopping: false,
     };
@@ -78,6 +81,8 @@
     received: ReceiveBatch,
     sender: SendBatch,
     outbox: Outbox,
+    notable: LineBudget,
+    samples: LineBudget,
     is_ready: bool,
     is_stopping: bool,
 }
@@ -135,7 +140,7 @@
                     "ready": self.is_ready, "stopping": self.is_stopping,
                 }));
             }
-            Event::Reload => info!(event = "reload"; "settings are read at the next start"),
+            Event::Seeds(seeds) => self.balancer.on_seeds(now, &seeds),
             Event::Stop => self.stop(cx, now),
             Event::ServerPacketsReady | Event::Report(..) | Event::Departure(..) => {}
         }
@@ -151,6 +156,7 @@
 
     fn on_packets(&mut self, now: Time) {
         let mut may_have_more = true;
+        let mut forwarded = 0;
         while may_have_more {
             may_have_more = self.shell.data.receive(&mut self.received);
             for (packet, _) in self.received.datagrams() {
@@ -161,12 +167,30 @@
                 };
                 match self.balancer.on_packet(now, &segment) {
                     Verdict::Forward { to, header } => {
+                        forwarded += 1;
+                        if segment.is_opening() && self.samples.take(now) {
+                            info!(
+                                event = "flow_placed", flow:% = segment.flow_from_caller(),
+                                copies_before = segment.acknowledgment, agent:% = to,
+                                life:% = header.life, catalogue:% = header.catalogue,
+                                confirmed_ago_ms:? = self.balancer.confirmed_ago(now).map(Span::as_millis);
+                                "opening packet goes to an agent"
+                            );
+                        }
                         let header: [u8; RELAY_HEADER_BYTES] = header.encode(self.key, packet);
                         let to = SocketAddrV4::new(to, self.data_port);
                         self.outbox.push(to, &header, packet);
                     }
                     Verdict::Refuse => {
                         let flow = segment.flow_from_caller();
+                        metrics::counter!("cardamomloom_refused_flows_total").increment(1);
+                        if self.notable.take(now) {
+                            info!(
+                                event = "flow_refused", flow:%,
+                                confirmed_ago_ms:? = self.balancer.confirmed_ago(now).map(Span::as_millis);
+                                "catalogue has no such address"
+                            );
+                        }
                         let to = SocketAddrV4::new(*flow.caller.ip(), self.data_port);
                         let reset = self.format.encode(&Segment::reset(&flow, 0), &[]);
                         self.outbox.push(to, &reset, &[]);
@@ -174,12 +198,21 @@
                     Verdict::Drop(reason) => {
                         metrics::counter!("cardamomloom_dropped_packets_total", "cause" => reason.label())
                             .increment(1);
+                        if self.notable.take(now) {
+                            info!(
+                                event = "packet_dropped", flow:% = segment.flow_from_caller(),
+                                cause = reason.label(), opens = segment.is_opening(),
+                                confirmed_ago_ms:? = self.balancer.confirmed_ago(now).map(Span::as_millis);
+                                "packet of a caller is dropped"
+                            );
+                        }
                     }
                 }
             }
             let data: &Rc<Port> = &self.shell.data;
             data.send_all(&mut self.sender, &mut self.outbox);
         }
+        metrics::counter!("cardamomloom_forwarded_packets_total").increment(forwarded);
     }
 
     fn send(&self, outgoing: Vec<Outgoing>) {
--- a/crates/daemon/src/passthrough/endpoints.rs
+++ b/crates/daemon/src/passthrough/endpoints.rs
@@ -20,6 +20,9 @@
     },
 };
 
+/// Upper bounds of the histogram of answer times, in seconds, around the aims of 0.15 to 0.8 s.
+const ANSWER_BUCKETS_S: [f64; 9] = [0.01, 0.025, 0.05, 0.1, 0.15, 0.3, 0.5, 1.0, 2.0];
+
 /// Binds the endpoints and serves them until the process ends.
 pub async fn start(
     settings: &PassThroughSettings,
@@ -32,6 +35,8 @@
         serve(agent.report_address, report_router(sink)).await?;
     }
     let metrics = PrometheusBuilder::new()
+        .set_buckets(&ANSWER_BUCKETS_S)
+        .map_err(|error| io(format!("metrics: {error}")))?
         .install_recorder()
         .map_err(|error| io(format!("metrics: {error}")))?;
     let router = Router::new()
--- a/crates/daemon/src/passthrough/mod.rs
+++ b/crates/daemon/src/passthrough/mod.rs
@@ -3,6 +3,7 @@
 
 mod agent;
 mod balancer;
+mod decisions;
 mod endpoints;
 mod node;
 mod registry;
@@ -13,23 +14,25 @@
     crate::settings::{PassThroughRole, PassThroughSettings},
     cardamomloom_core::error::{Error, io},
     log::info,
+    std::path::Path,
 };
 
 /// Result of running a process.
 pub type Result<T> = std::result::Result<T, Error>;
 
-/// Runs a process until it is asked to stop.
+/// Runs a process until it is asked to stop. The settings are read again from `path` when they
+/// change.
 ///
 /// # Errors
 ///
 /// Fails with kind `io` when a socket cannot be set up.
-pub fn run(settings: &PassThroughSettings) -> Result<()> {
+pub fn run(path: &Path, settings: &PassThroughSettings) -> Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(|error| io(format!("runtime: {error}")))?;
     let outcome = runtime.block_on(async {
-        let (shell, inbox) = node::Shell::start(settings).await?;
+        let (shell, inbox) = node::Shell::start(path, settings).await?;
         match &settings.role {
             PassThroughRole::Balancer { linger_ms } => {
                 balancer::run(settings, *linger_ms, shell, inbox).await
--- a/crates/daemon/src/passthrough/node.rs
+++ b/crates/daemon/src/passthrough/node.rs
@@ -6,9 +6,9 @@
         sockets::Port,
         store_reader::{ReadMode, StoreReader},
     },
-    crate::settings::{PassThroughRole, PassThroughSettings},
+    crate::settings::{AnySettings, PassThroughRole, PassThroughSettings, load},
     cardamomloom_coordination::passthrough::balancer::Outgoing,
-    cardamomloom_core::error::io,
+    cardamomloom_core::error::{Error, io},
     cardamomloom_platform::store::ObjectStore,
     cardamomloom_protocol::{
         forward::DatagramKey,
@@ -22,6 +22,7 @@
     stakker::{Fwd, Stakker},
     std::{
         net::{Ipv4Addr, SocketAddrV4},
+        path::Path,
         rc::Rc,
         sync::{Arc, atomic::AtomicBool},
         time::{Duration, Instant},
@@ -72,8 +73,8 @@
     Report(HostReport, oneshot::Sender<bool>),
     /// The backend server left.
     Departure(Arc<str>, oneshot::Sender<bool>),
-    /// The settings may have changed.
-    Reload,
+    /// The settings name other processes that may be balancers.
+    Seeds(Vec<Ipv4Addr>),
     /// The process is asked to stop.
     Stop,
 }
@@ -98,7 +99,10 @@
 
 impl Shell {
     /// Binds sockets and starts the tasks that produce events; returns the events too.
-    pub async fn start(settings: &PassThroughSettings) -> Result<(Self, mpsc::Receiver<Event>)> {
+    pub async fn start(
+        path: &Path,
+        settings: &PassThroughSettings,
+    ) -> Result<(Self, mpsc::Receiver<Event>)> {
         let clock = MonotonicClock::start();
         let address = settings.address();
         let data = Rc::new(Port::bind(settings.data_address)?);
@@ -122,6 +126,7 @@
             }
         }
         spawn_signals(&events)?;
+        spawn_reload(path.into(), settings, &events)?;
         info!(
             event = "started", node = &*settings.node, address:%, data_address:% = settings.data_address;
             "sockets are bound"
@@ -299,21 +304,69 @@
     }
 }
 
+/// Interval at which the settings file is read again, because it may change without a signal.
+const SETTINGS_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Reads the settings again, on a signal and from time to time. Only the seeds can change without
+/// a restart; another change is logged.
+fn spawn_reload(
+    path: Arc<Path>,
+    settings: &PassThroughSettings,
+    events: &mpsc::Sender<Event>,
+) -> Result<()> {
+    let mut hangup = signal(SignalKind::hangup())
+        .map_err(|error| io(format!("runtime: cannot handle signals: {error}")))?;
+    let (events, mut present) = (events.clone(), settings.clone());
+    let mut rejected: Option<Error> = None;
+    tokio::spawn(async move {
+        loop {
+            tokio::select! {
+                _ = hangup.recv() => info!(event = "reload"; "settings are read again"),
+                () = tokio::time::sleep(SETTINGS_INTERVAL) => {}
+            }
+            let next = match load(&path).and_then(AnySettings::into_pass_through) {
+                Ok(next) => next,
+                Err(error) => {
+                    if rejected.as_ref() != Some(&error) {
+                        warn!(event = "settings_rejected"; "{error}");
+                    }
+                    rejected = Some(error);
+                    continue;
+                }
+            };
+            rejected = None;
+            if next == present {
+                continue;
+            }
+            let seeds = next.seed_addresses();
+            let needs_restart = present
+                != PassThroughSettings {
+                    seeds: present.seeds.clone(),
+                    ..next.clone()
+                };
+            info!(event = "settings_changed", seeds = seeds.len(), needs_restart; "settings changed");
+            present = next;
+            if events.send(Event::Seeds(seeds)).await.is_err() {
+                return;
+            }
+        }
+    });
+    Ok(())
+}
+
 fn spawn_signals(events: &mpsc::Sender<Event>) -> Result<()> {
     let listen =
         |kind| signal(kind).map_err(|error| io(format!("runtime: cannot handle signals: {error}")));
     let mut terminate = listen(SignalKind::terminate())?;
     let mut interrupt = listen(SignalKind::interrupt())?;
-    let mut hangup = listen(SignalKind::hangup())?;
     let events = events.clone();
     tokio::spawn(async move {
         loop {
-            let event = tokio::select! {
-                _ = terminate.recv() => Event::Stop,
-                _ = interrupt.recv() => Event::Stop,
-                _ = hangup.recv() => Event::Reload,
-            };
-            if events.send(event).await.is_err() {
+            tokio::select! {
+                _ = terminate.recv() => {}
+                _ = interrupt.recv() => {}
+            }
+            if events.send(Event::Stop).await.is_err() {
                 return;
             }
         }
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -137,6 +137,20 @@
 }
 
 impl AnySettings {
+    /// Returns the settings for pass-through.
+    ///
+    /// # Errors
+    ///
+    /// Fails with kind `invalid_argument` when they are for termination.
+    pub fn into_pass_through(self) -> Result<PassThroughSettings> {
+        match self {
+            Self::PassThrough(settings) => Ok(settings),
+            Self::Termination(_) => Err(invalid_argument(
+                "settings: field \"delivery\" is missing; allowed is \"pass_through\"",
+            )),
+        }
+    }
+
     /// Returns the lowest level that is logged.
     #[must_use]
     pub const fn log_level(&self) -> LogLevel {
