--- a/crates/daemon/src/passthrough/mod.rs
+++ b/crates/daemon/src/passthrough/mod.rs
@@ -27,6 +27,7 @@
 ///
 /// Fails with kind `io` when a socket cannot be set up.
 pub fn run(path: &Path, settings: &PassThroughSettings) -> Result<()> {
+    info!(event = "starting", node = &*settings.node, version = env!("CARGO_PKG_VERSION"); "process starts");
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
