Pace signs of life by the size of the fleet

Cause: every agent announces itself to every balancer four times a second, and every balancer to every other twice, whatever their number. Change: a process sends at most 120 announcements or 100 views a second; messages say when the next one comes, and silence is judged by that. Samples in the log no longer report lines left out.

--- a/crates/coordination/src/passthrough/agent/control.rs
+++ b/crates/coordination/src/passthrough/agent/control.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{Action, Agent, ColdBucket, Host, HostReportState, Phase, ReportOutcome},
-    crate::passthrough::balancer::Outgoing,
+    crate::passthrough::{as_millis_u16, balancer::Outgoing, paced_interval},
     cardamomloom_core::{Span, Time},
     cardamomloom_protocol::passthrough::{
         Announcement, BalancerView, CatalogueDocument, HostReport, HostStanding, PeerMessage,
@@ -93,7 +93,7 @@
             + if is_alone {
                 self.options.search_interval
             } else {
-                self.options.announce_interval
+                self.announce_interval()
             };
         self.peers.expire(now);
         let options = self.options;
@@ -277,6 +277,15 @@
             .collect()
     }
 
+    fn announce_interval(&self) -> Span {
+        let options = &self.options;
+        paced_interval(
+            options.announce_interval,
+            self.peers.len(),
+            options.announcements_per_s,
+        )
+    }
+
     fn announcement(&self, now: Time, wants_hosts: bool) -> Announcement {
         Announcement {
             agent: self.identity.address,
@@ -292,6 +301,7 @@
                 .map_or(0, |host| u16::try_from(host.slots).unwrap_or(u16::MAX)),
             open_flows: u16::try_from(self.flows.waiting()).unwrap_or(u16::MAX),
             catalogue: self.catalogue.version(),
+            interval_ms: as_millis_u16(self.announce_interval()),
             wants_hosts,
         }
     }
--- a/crates/coordination/src/passthrough/agent/mod.rs
+++ b/crates/coordination/src/passthrough/agent/mod.rs
@@ -47,6 +47,8 @@
     pub busy_visits: usize,
     /// Interval of announcements.
     pub announce_interval: Span,
+    /// Announcements a second to all balancers together; with more balancers the interval grows.
+    pub announcements_per_s: u64,
     /// Interval of announcements while no balancer is heard.
     pub search_interval: Span,
     /// Age of the catalogue above which the agent reads the store itself.
@@ -72,6 +74,7 @@
             trust_owner_for: Span::from_millis(1_500),
             busy_visits: 3,
             announce_interval: Span::from_millis(250),
+            announcements_per_s: 120,
             search_interval: Span::from_millis(100),
             stale_after: Span::from_millis(2_500),
             stop_timeout: Span::from_millis(4_500),
--- a/crates/coordination/src/passthrough/balancer/control.rs
+++ b/crates/coordination/src/passthrough/balancer/control.rs
@@ -2,6 +2,7 @@
 
 use {
     super::Balancer,
+    crate::passthrough::{as_millis_u16, paced_interval},
     cardamomloom_core::{Span, Time},
     cardamomloom_protocol::passthrough::{
         Announcement, BalancerView, CatalogueDocument, PeerMessage, Registration, Snapshot,
@@ -53,7 +54,7 @@
             + if is_alone {
                 self.options.search_interval
             } else {
-                self.options.view_interval
+                self.view_interval()
             };
         self.peers.expire(now);
         for agent in self.hosts.expire(now) {
@@ -292,6 +293,11 @@
         })
     }
 
+    fn view_interval(&self) -> Span {
+        let options = &self.options;
+        paced_interval(options.view_interval, self.peers.len(), options.views_per_s)
+    }
+
     fn is_reader(&self, now: Time) -> bool {
         self.control
             .read
@@ -309,6 +315,7 @@
             is_stopping: self.control.is_stopping,
             is_informed: self.catalogue.is_informed(),
             is_reader: self.is_reader(now),
+            interval_ms: as_millis_u16(self.view_interval()),
             wants_answer,
             catalogue: self.catalogue.version(),
             standing: self.catalogue.standing().cloned(),
--- a/crates/coordination/src/passthrough/balancer/mod.rs
+++ b/crates/coordination/src/passthrough/balancer/mod.rs
@@ -33,6 +33,8 @@
     pub fresh_for: Span,
     /// Interval of the signs of life between balancers.
     pub view_interval: Span,
+    /// Signs of life a second to all balancers together; with more balancers the interval grows.
+    pub views_per_s: u64,
     /// Interval of the signs of life while no other balancer is heard, so that processes that
     /// start together find each other at once.
     pub search_interval: Span,
@@ -53,6 +55,7 @@
             remember_for: Span::from_secs(15),
             fresh_for: Span::from_secs(4),
             view_interval: Span::from_millis(500),
+            views_per_s: 100,
             search_interval: Span::from_millis(100),
             readers: 2,
             registration_timeout: Span::from_secs(60),
--- a/crates/coordination/src/passthrough/hosts.rs
+++ b/crates/coordination/src/passthrough/hosts.rs
@@ -12,8 +12,10 @@
 /// Times after which hosts are left out.
 #[derive(Clone, Copy, Debug)]
 pub struct HostDirectoryOptions {
-    /// Silence after which a host takes no new flows: four announcements in a row are missing.
+    /// Least silence after which a host takes no new flows.
     pub suspect_after: Span,
+    /// Announcements in a row that may be missing.
+    pub missed_announcements: u64,
     /// Silence after which a host is forgotten; flows older than this may still find their agent
     /// by a search.
     pub forget_after: Span,
@@ -25,6 +27,7 @@
     fn default() -> Self {
         Self {
             suspect_after: Span::from_millis(1_100),
+            missed_announcements: 4,
             forget_after: Span::from_secs(20),
             pause: Span::from_millis(400),
         }
@@ -169,8 +172,7 @@
     /// Tells whether a host takes new flows, its failure domain apart.
     #[must_use]
     pub fn accepts_new(&self, now: Time, record: &HostRecord) -> bool {
-        record.announcement.standing == HostStanding::Ready
-            && self.silence(now, record) <= self.options.suspect_after
+        record.announcement.standing == HostStanding::Ready && self.is_heard(now, record)
     }
 
     /// Notes that a new flow was sent to a host.
@@ -193,7 +195,7 @@
         self.of_service(service)
             .filter(|record| record.announcement.standing != HostStanding::Gone)
             .max_by_key(|record| {
-                let is_heard = self.silence(now, record) <= self.options.suspect_after;
+                let is_heard = self.is_heard(now, record);
                 (is_heard, rank(flow_hash, record.announcement.agent))
             })
     }
@@ -250,6 +252,12 @@
             .unwrap_or_default()
     }
 
+    fn is_heard(&self, now: Time, record: &HostRecord) -> bool {
+        let interval = Span::from_millis(u64::from(record.announcement.interval_ms));
+        let missed = Span(interval.0 * self.options.missed_announcements);
+        self.silence(now, record) <= self.options.suspect_after.max(missed)
+    }
+
     fn silence(&self, now: Time, record: &HostRecord) -> Span {
         now.since(record.last_sign().max(self.silence_from))
     }
--- a/crates/coordination/src/passthrough/mod.rs
+++ b/crates/coordination/src/passthrough/mod.rs
@@ -12,6 +12,8 @@
 mod peers;
 mod placement;
 
+use cardamomloom_core::Span;
+
 pub use {
     catalogue::{CatalogueView, Lookup},
     hosts::{HostDirectory, HostDirectoryOptions, HostRecord},
@@ -19,3 +21,13 @@
     peers::{PeerDirectory, PeerDirectoryOptions},
     placement::{flow_hash, rank},
 };
+
+/// Returns the interval at which a process repeats a message to all `receivers`: `least`, or longer
+/// so that it sends no more than `messages_per_s`.
+fn paced_interval(least: Span, receivers: usize, messages_per_s: u64) -> Span {
+    least.max(Span(receivers as u64 * 1_000_000 / messages_per_s))
+}
+
+fn as_millis_u16(span: Span) -> u16 {
+    u16::try_from(span.as_millis()).unwrap_or(u16::MAX)
+}
--- a/crates/coordination/src/passthrough/peers.rs
+++ b/crates/coordination/src/passthrough/peers.rs
@@ -9,8 +9,10 @@
 /// Times after which balancers are left out.
 #[derive(Clone, Copy, Debug)]
 pub struct PeerDirectoryOptions {
-    /// Silence after which a balancer does not count as reading the store for others.
+    /// Least silence after which a balancer does not count as reading the store for others.
     pub suspect_after: Span,
+    /// Signs of life in a row that may be missing.
+    pub missed_views: u64,
     /// Silence after which a balancer is forgotten. Longer than an outage of a machine, because a
     /// balancer that returns at its address is then found at once.
     pub forget_after: Span,
@@ -20,6 +22,7 @@
     fn default() -> Self {
         Self {
             suspect_after: Span::from_millis(1_600),
+            missed_views: 3,
             forget_after: Span::from_secs(60),
         }
     }
@@ -32,6 +35,7 @@
     is_reader: bool,
     is_stopping: bool,
     is_informed: bool,
+    interval: Span,
 }
 
 /// Balancers by address.
@@ -66,6 +70,7 @@
                 is_reader: false,
                 is_stopping: false,
                 is_informed: false,
+                interval: Span::ZERO,
             },
         );
         true
@@ -87,6 +92,7 @@
             peer.is_reader = view.is_reader;
             peer.is_stopping = view.is_stopping;
             peer.is_informed = view.is_informed;
+            peer.interval = Span::from_millis(u64::from(view.interval_ms));
         }
         added
     }
@@ -155,7 +161,8 @@
     }
 
     fn is_live(&self, now: Time, peer: &Peer) -> bool {
-        peer.heard
-            .is_some_and(|heard| now.since(heard) <= self.options.suspect_after)
+        let missed = Span(peer.interval.0 * self.options.missed_views);
+        let limit = self.options.suspect_after.max(missed);
+        peer.heard.is_some_and(|heard| now.since(heard) <= limit)
     }
 }
--- a/crates/daemon/src/passthrough/decisions.rs
+++ b/crates/daemon/src/passthrough/decisions.rs
@@ -21,24 +21,27 @@
     /// Time up to which the budget is used.
     used_until: Time,
     suppressed: u64,
+    /// Whether the number of lines left out is logged. For samples only the counter tells it.
+    reports_suppressed: bool,
 }
 
 impl LineBudget {
     /// Returns the budget of decisions that a caller feels.
     pub const fn notable() -> Self {
-        Self::new(NOTABLE_LINES_PER_S)
+        Self::new(NOTABLE_LINES_PER_S, true)
     }
 
     /// Returns the budget of samples of the usual path.
     pub const fn samples() -> Self {
-        Self::new(SAMPLE_LINES_PER_S)
+        Self::new(SAMPLE_LINES_PER_S, false)
     }
 
-    const fn new(lines_per_s: u64) -> Self {
+    const fn new(lines_per_s: u64, reports_suppressed: bool) -> Self {
         Self {
             interval: Span::from_micros(1_000_000 / lines_per_s),
             used_until: Time::ZERO,
             suppressed: 0,
+            reports_suppressed,
         }
     }
 
@@ -55,7 +58,9 @@
         if self.suppressed > 0 {
             let suppressed = std::mem::take(&mut self.suppressed);
             metrics::counter!("cardamomloom_log_lines_suppressed_total").increment(suppressed);
-            info!(event = "lines_suppressed", suppressed; "decisions were not logged");
+            if self.reports_suppressed {
+                info!(event = "lines_suppressed", suppressed; "decisions were not logged");
+            }
         }
         true
     }
--- a/crates/protocol/src/passthrough/message.rs
+++ b/crates/protocol/src/passthrough/message.rs
@@ -79,6 +79,8 @@
     pub open_flows: u16,
     /// Catalogue that the agent knows.
     pub catalogue: CatalogueVersion,
+    /// Time until the next announcement.
+    pub interval_ms: u16,
     /// Whether the answer should list the hosts of the service.
     pub wants_hosts: bool,
 }
@@ -94,6 +96,8 @@
     pub is_informed: bool,
     /// Whether the balancer reads the store itself.
     pub is_reader: bool,
+    /// Time until the next sign of life.
+    pub interval_ms: u16,
     /// Whether the receiver should answer at once.
     pub wants_answer: bool,
     /// Catalogue that the balancer knows.
