Send signs of life between balancers through those that read the store

Change: balancers that read the store tell all, the others tell them; only balancers that were heard are named to others, so that one that is gone is forgotten.

--- a/crates/coordination/src/passthrough/balancer/control.rs
+++ b/crates/coordination/src/passthrough/balancer/control.rs
@@ -57,17 +57,11 @@
                 self.view_interval()
             };
         self.peers.expire(now);
+        self.control.turn += 1;
         for agent in self.hosts.expire(now) {
             info!(event = "host_forgotten", agent:%; "host was silent for long");
         }
-        let message = PeerMessage::View(self.view(now, false, None));
-        self.peers
-            .addresses()
-            .map(|to| Outgoing {
-                to,
-                message: message.clone(),
-            })
-            .collect()
+        self.views_for_balancers(now)
     }
 
     /// Processes a control message and returns the answers.
@@ -135,7 +129,7 @@
             catalogue: self.catalogue.document().cloned(),
             standing: self.catalogue.standing().cloned(),
             confirmed_ago_ms: self.confirmed_ago_ms(now),
-            balancers: self.peers.addresses().chain([self.own]).collect(),
+            balancers: self.peers.heard().chain([self.own]).collect(),
             hosts: self
                 .hosts
                 .iter()
@@ -271,21 +265,32 @@
 
     /// Tells other balancers of a change, and agents too when this balancer reads the store.
     fn tell_all(&mut self, now: Time) -> Vec<Outgoing> {
-        let to_peers = PeerMessage::View(self.view(now, false, None));
-        let mut outgoing: Vec<Outgoing> = self
-            .peers
-            .addresses()
-            .map(|to| Outgoing {
-                to,
-                message: to_peers.clone(),
-            })
-            .collect();
+        let mut outgoing = self.views_for_balancers(now);
         if self.is_reader(now) {
             outgoing.extend(self.views_for_agents(now));
         }
         outgoing
     }
 
+    /// A balancer that reads the store is heard by all others, and the others by those that read
+    /// it, so that the messages grow with the number of balancers and not with its square.
+    fn views_for_balancers(&self, now: Time) -> Vec<Outgoing> {
+        let readers: Vec<Ipv4Addr> = self.peers.readers(now).collect();
+        let receivers = if self.is_reader(now) || readers.is_empty() {
+            self.peers.addresses().collect()
+        } else {
+            readers
+        };
+        let message = PeerMessage::View(self.view(now, false, None));
+        receivers
+            .into_iter()
+            .map(|to| Outgoing {
+                to,
+                message: message.clone(),
+            })
+            .collect()
+    }
+
     fn views_for_agents(&self, now: Time) -> impl Iterator<Item = Outgoing> {
         self.hosts.iter().map(move |record| Outgoing {
             to: record.announcement.agent,
@@ -309,7 +314,7 @@
             let is_out = |domain: &_| self.catalogue.is_out(domain);
             self.hosts.briefs(now, &agent.service, is_out, MAX_BRIEFS)
         });
-        let known = self.peers.len();
+        let heard: Vec<Ipv4Addr> = self.peers.heard().collect();
         BalancerView {
             balancer: self.own,
             is_stopping: self.control.is_stopping,
@@ -320,12 +325,12 @@
             catalogue: self.catalogue.version(),
             standing: self.catalogue.standing().cloned(),
             confirmed_ago_ms: self.confirmed_ago_ms(now),
-            balancers: self
-                .peers
-                .addresses()
+            balancers: heard
+                .iter()
                 .cycle()
-                .skip(self.control.turn % known.max(1))
-                .take(known.min(MAX_BALANCERS))
+                .skip(self.control.turn % heard.len().max(1))
+                .take(heard.len().min(MAX_BALANCERS))
+                .copied()
                 .collect(),
             hosts,
         }
--- a/crates/coordination/src/passthrough/peers.rs
+++ b/crates/coordination/src/passthrough/peers.rs
@@ -105,10 +105,27 @@
     }
 
     /// Returns all balancers but the process itself.
-    pub fn addresses(&self) -> impl Iterator<Item = Ipv4Addr> + Clone {
+    pub fn addresses(&self) -> impl Iterator<Item = Ipv4Addr> {
         self.peers.keys().copied()
     }
 
+    /// Returns the balancers that were heard at all. Only these are named to others, so that one
+    /// that is gone is not kept by processes that name it to each other.
+    pub fn heard(&self) -> impl Iterator<Item = Ipv4Addr> {
+        self.peers
+            .iter()
+            .filter(|(_, peer)| peer.heard.is_some())
+            .map(|(balancer, _)| *balancer)
+    }
+
+    /// Returns the balancers that read the store and were heard lately.
+    pub fn readers(&self, now: Time) -> impl Iterator<Item = Ipv4Addr> {
+        self.peers
+            .iter()
+            .filter(move |(_, peer)| peer.is_reader && self.is_live(now, peer))
+            .map(|(balancer, _)| *balancer)
+    }
+
     /// Returns the balancers that were heard lately.
     pub fn live(&self, now: Time) -> impl Iterator<Item = Ipv4Addr> {
         self.peers
--- a/crates/daemon/src/passthrough/balancer.rs
+++ b/crates/daemon/src/passthrough/balancer.rs
@@ -173,7 +173,7 @@
                                 event = "flow_placed", flow:% = segment.flow_from_caller(),
                                 copies_before = segment.acknowledgment, agent:% = to,
                                 life:% = header.life, catalogue:% = header.catalogue,
-                                confirmed_ago_ms:? = self.balancer.confirmed_ago(now).map(Span::as_millis);
+                                confirmed_ago_ms = self.balancer.confirmed_ago(now).map(Span::as_millis);
                                 "opening packet goes to an agent"
                             );
                         }
@@ -187,7 +187,7 @@
                         if self.notable.take(now) {
                             info!(
                                 event = "flow_refused", flow:%,
-                                confirmed_ago_ms:? = self.balancer.confirmed_ago(now).map(Span::as_millis);
+                                confirmed_ago_ms = self.balancer.confirmed_ago(now).map(Span::as_millis);
                                 "catalogue has no such address"
                             );
                         }
@@ -202,7 +202,7 @@
                             info!(
                                 event = "packet_dropped", flow:% = segment.flow_from_caller(),
                                 cause = reason.label(), opens = segment.is_opening(),
-                                confirmed_ago_ms:? = self.balancer.confirmed_ago(now).map(Span::as_millis);
+                                confirmed_ago_ms = self.balancer.confirmed_ago(now).map(Span::as_millis);
                                 "packet of a caller is dropped"
                             );
                         }
