--- a/crates/daemon/tests/metrics_page.rs
+++ b/crates/daemon/tests/metrics_page.rs
@@ -30,7 +30,11 @@
             names_in_sources(&path, names);
         } else if path.extension().is_some_and(|extension| extension == "rs") {
             let text = fs::read_to_string(&path).expect("a source file");
-            for opening in ["counter!(\"cardamomloom_", "gauge!(\"cardamomloom_"] {
+            for opening in [
+                "counter!(\"cardamomloom_",
+                "gauge!(\"cardamomloom_",
+                "histogram!(\"cardamomloom_",
+            ] {
                 names_after(&text, opening, names);
             }
         }
@@ -47,6 +51,7 @@
             &mut published,
         );
     }
+    names_in_sources(&repository().join("platform/src"), &mut published);
     let page = fs::read_to_string(repository().join("docs/OPERATIONS.md")).expect("the page");
     let mut listed = BTreeSet::new();
     names_after(&page, "\n| cardamomloom_", &mut listed);
