--- a/crates/coordination/src/passthrough/balancer/control.rs
+++ b/crates/coordination/src/passthrough/balancer/control.rs
@@ -167,12 +167,9 @@
     /// Tells whether the routers may send packets.
     #[must_use]
     pub fn is_ready(&self, now: Time) -> bool {
-        let has_host = self
-            .hosts
-            .iter()
-            .any(|record| self.hosts.accepts_new(now, record));
         let has_waited = now.since(self.started) >= self.options.ready_without_hosts_after;
-        self.catalogue.is_informed() && (has_host || has_waited) && !self.control.is_stopping
+        let may_serve = self.can_place(now) || (self.catalogue.is_informed() && has_waited);
+        may_serve && !self.control.is_stopping
     }
 
     /// Begins to stop and returns what to tell others.
--- a/crates/coordination/src/passthrough/balancer/mod.rs
+++ b/crates/coordination/src/passthrough/balancer/mod.rs
@@ -1,8 +1,9 @@
 //! Decisions of a balancer: which agent gets a packet, and what other processes are told.
 
 mod control;
+mod early;
 
-pub use control::Outgoing;
+pub use {control::Outgoing, early::EarlyPackets};
 
 use {
     super::{
@@ -42,6 +43,8 @@
     pub readers: usize,
     /// Silence after which the registration of a balancer is removed.
     pub registration_timeout: Span,
+    /// Time after the start in which opening packets that cannot be placed are held.
+    pub hold_early_for: Span,
     /// Time without any usable host after which a starting balancer reports ready all the same.
     pub ready_without_hosts_after: Span,
 }
@@ -59,6 +62,7 @@
             search_interval: Span::from_millis(100),
             readers: 2,
             registration_timeout: Span::from_secs(60),
+            hold_early_for: Span::from_secs(3),
             ready_without_hosts_after: Span::from_secs(2),
         }
     }
@@ -169,6 +173,23 @@
         }
     }
 
+    /// Tells whether an opening packet that cannot be placed may be placed soon, because this
+    /// process has just started.
+    #[must_use]
+    pub fn may_hold(&self, now: Time, segment: &Segment) -> bool {
+        segment.is_opening() && now.since(self.started) <= self.options.hold_early_for
+    }
+
+    /// Tells whether new flows can be placed on some host.
+    #[must_use]
+    pub fn can_place(&self, now: Time) -> bool {
+        self.catalogue.is_informed()
+            && self
+                .hosts
+                .iter()
+                .any(|record| self.hosts.accepts_new(now, record))
+    }
+
     /// Remembers the owner of a flow.
     pub fn on_owner(&mut self, now: Time, flow: FlowId, agent: Ipv4Addr) {
         let life = self.hosts.life(agent);
--- a/crates/daemon/src/passthrough/balancer.rs
+++ b/crates/daemon/src/passthrough/balancer.rs
@@ -6,26 +6,25 @@
         decisions::LineBudget,
         node::{Event, Shell, run_loop},
         registry,
-        sockets::{Outbox, Port},
+        sockets::Outbox,
         store_reader::ReadMode,
     },
     crate::settings::PassThroughSettings,
     cardamomloom_coordination::passthrough::balancer::{
-        Balancer, BalancerOptions, Outgoing, Verdict,
+        Balancer, BalancerOptions, DropReason, EarlyPackets, Outgoing, Verdict,
     },
     cardamomloom_core::{Span, Time},
     cardamomloom_platform::packet::PlatformPackets,
     cardamomloom_protocol::{
         forward::DatagramKey,
-        passthrough::{PacketFormat, RELAY_HEADER_BYTES, Segment},
+        passthrough::{PacketFormat, RELAY_HEADER_BYTES, RelayHeader, Segment},
     },
     cardamomloom_transport::udp::{ReceiveBatch, SendBatch},
     log::info,
     serde_json::json,
     stakker::{CX, Stakker, actor, after, fwd_to, ret_shutdown},
     std::{
-        net::SocketAddrV4,
-        rc::Rc,
+        net::{Ipv4Addr, SocketAddrV4},
         sync::atomic::Ordering,
         time::{Duration, Instant},
     },
@@ -57,9 +56,10 @@
         data_port: settings.data_address.port(),
         format: Box::new(PlatformPackets),
         linger: Span::from_millis(linger_ms),
-        received: ReceiveBatch::default(),
+        received: Some(ReceiveBatch::default()),
         sender: SendBatch::default(),
         outbox: Outbox::default(),
+        early: EarlyPackets::default(),
         notable: LineBudget::notable(),
         samples: LineBudget::samples(),
         is_ready: false,
@@ -78,9 +78,10 @@
     data_port: u16,
     format: Box<dyn PacketFormat>,
     linger: Span,
-    received: ReceiveBatch,
+    received: Option<ReceiveBatch>,
     sender: SendBatch,
     outbox: Outbox,
+    early: EarlyPackets,
     notable: LineBudget,
     samples: LineBudget,
     is_ready: bool,
@@ -98,7 +99,8 @@
         match event {
             Event::PacketsReady => self.on_packets(now),
             Event::ControlReady => {
-                for message in self.shell.control.receive(&mut self.received) {
+                let received = self.received.get_or_insert_default();
+                for message in self.shell.control.receive(received) {
                     let answers = self.balancer.on_message(now, message);
                     self.send(answers);
                 }
@@ -155,64 +157,102 @@
     }
 
     fn on_packets(&mut self, now: Time) {
+        // Taken out while the packets in it are processed.
+        let mut received = self.received.take().unwrap_or_default();
         let mut may_have_more = true;
-        let mut forwarded = 0;
         while may_have_more {
-            may_have_more = self.shell.data.receive(&mut self.received);
-            for (packet, _) in self.received.datagrams() {
-                let Some(segment) = self.format.parse(packet) else {
-                    metrics::counter!("cardamomloom_dropped_packets_total", "cause" => "malformed")
-                        .increment(1);
-                    continue;
-                };
-                match self.balancer.on_packet(now, &segment) {
-                    Verdict::Forward { to, header } => {
-                        forwarded += 1;
-                        if segment.is_opening() && self.samples.take(now) {
-                            info!(
-                                event = "flow_placed", flow:% = segment.flow_from_caller(),
-                                copies_before = segment.acknowledgment, agent:% = to,
-                                life:% = header.life, catalogue:% = header.catalogue,
-                                confirmed_ago_ms = self.balancer.confirmed_ago(now).map(Span::as_millis);
-                                "opening packet goes to an agent"
-                            );
-                        }
-                        let header: [u8; RELAY_HEADER_BYTES] = header.encode(self.key, packet);
-                        let to = SocketAddrV4::new(to, self.data_port);
-                        self.outbox.push(to, &header, packet);
-                    }
-                    Verdict::Refuse => {
-                        let flow = segment.flow_from_caller();
-                        metrics::counter!("cardamomloom_refused_flows_total").increment(1);
-                        if self.notable.take(now) {
-                            info!(
-                                event = "flow_refused", flow:%,
-                                confirmed_ago_ms = self.balancer.confirmed_ago(now).map(Span::as_millis);
-                                "catalogue has no such address"
-                            );
-                        }
-                        let to = SocketAddrV4::new(*flow.caller.ip(), self.data_port);
-                        let reset = self.format.encode(&Segment::reset(&flow, 0), &[]);
-                        self.outbox.push(to, &reset, &[]);
-                    }
-                    Verdict::Drop(reason) => {
-                        metrics::counter!("cardamomloom_dropped_packets_total", "cause" => reason.label())
-                            .increment(1);
-                        if self.notable.take(now) {
-                            info!(
-                                event = "packet_dropped", flow:% = segment.flow_from_caller(),
-                                cause = reason.label(), opens = segment.is_opening(),
-                                confirmed_ago_ms = self.balancer.confirmed_ago(now).map(Span::as_millis);
-                                "packet of a caller is dropped"
-                            );
-                        }
-                    }
-                }
+            may_have_more = self.shell.data.receive(&mut received);
+            for (packet, _) in received.datagrams() {
+                self.on_packet(now, packet);
+            }
+            self.flush();
+        }
+        self.received = Some(received);
+    }
+
+    fn on_packet(&mut self, now: Time, packet: &[u8]) {
+        let Some(segment) = self.format.parse(packet) else {
+            metrics::counter!("cardamomloom_dropped_packets_total", "cause" => "malformed")
+                .increment(1);
+            return;
+        };
+        match self.balancer.on_packet(now, &segment) {
+            Verdict::Forward { to, header } => {
+                self.log_placement(now, &segment, to, &header);
+                let header: [u8; RELAY_HEADER_BYTES] = header.encode(self.key, packet);
+                let to = SocketAddrV4::new(to, self.data_port);
+                self.outbox.push(to, &header, packet);
             }
-            let data: &Rc<Port> = &self.shell.data;
-            data.send_all(&mut self.sender, &mut self.outbox);
+            Verdict::Refuse => self.refuse(now, &segment),
+            Verdict::Drop(DropReason::Uninformed | DropReason::NoHost)
+                if self.balancer.may_hold(now, &segment) && self.early.hold(now, packet) => {}
+            Verdict::Drop(reason) => self.drop_packet(now, &segment, reason),
+        }
+    }
+
+    /// Places the packets that came before this process could.
+    fn place_early_packets(&mut self, now: Time) {
+        if self.early.is_empty() || !self.balancer.can_place(now) {
+            return;
+        }
+        let packets = self.early.take(now);
+        info!(event = "early_packets", packets = packets.len(); "opening packets that were held are placed");
+        for packet in packets {
+            self.on_packet(now, &packet);
+        }
+        self.flush();
+    }
+
+    fn flush(&mut self) {
+        if self.outbox.is_empty() {
+            return;
+        }
+        metrics::counter!("cardamomloom_forwarded_packets_total")
+            .increment(self.outbox.len() as u64);
+        self.shell.data.send_all(&mut self.sender, &mut self.outbox);
+    }
+
+    fn log_placement(&mut self, now: Time, segment: &Segment, to: Ipv4Addr, header: &RelayHeader) {
+        if !segment.is_opening() || !self.samples.take(now) {
+            return;
+        }
+        info!(
+            event = "flow_placed", flow:% = segment.flow_from_caller(),
+            copies_before = segment.acknowledgment, agent:% = to, life:% = header.life,
+            catalogue:% = header.catalogue, confirmed_ago_ms = self.confirmed_ago_ms(now);
+            "opening packet goes to an agent"
+        );
+    }
+
+    fn refuse(&mut self, now: Time, segment: &Segment) {
+        let flow = segment.flow_from_caller();
+        metrics::counter!("cardamomloom_refused_flows_total").increment(1);
+        if self.notable.take(now) {
+            info!(
+                event = "flow_refused", flow:%, confirmed_ago_ms = self.confirmed_ago_ms(now);
+                "catalogue has no such address"
+            );
         }
-        metrics::counter!("cardamomloom_forwarded_packets_total").increment(forwarded);
+        let to = SocketAddrV4::new(*flow.caller.ip(), self.data_port);
+        let reset = self.format.encode(&Segment::reset(&flow, 0), &[]);
+        self.outbox.push(to, &reset, &[]);
+    }
+
+    fn drop_packet(&mut self, now: Time, segment: &Segment, reason: DropReason) {
+        metrics::counter!("cardamomloom_dropped_packets_total", "cause" => reason.label())
+            .increment(1);
+        if self.notable.take(now) {
+            info!(
+                event = "packet_dropped", flow:% = segment.flow_from_caller(),
+                cause = reason.label(), opens = segment.is_opening(),
+                confirmed_ago_ms = self.confirmed_ago_ms(now);
+                "packet of a caller is dropped"
+            );
+        }
+    }
+
+    fn confirmed_ago_ms(&self, now: Time) -> Option<u64> {
+        self.balancer.confirmed_ago(now).map(Span::as_millis)
     }
 
     fn send(&self, outgoing: Vec<Outgoing>) {
@@ -221,6 +261,7 @@
 
     /// Brings readiness, reading and copying in line with the state.
     fn update(&mut self, now: Time) {
+        self.place_early_packets(now);
         let is_ready = self.balancer.is_ready(now);
         if std::mem::replace(&mut self.is_ready, is_ready) != is_ready {
             let (hosts, balancers) = self.balancer.counts();
--- a/crates/daemon/src/passthrough/sockets.rs
+++ b/crates/daemon/src/passthrough/sockets.rs
@@ -108,6 +108,12 @@
         self.datagrams.push((to, start..self.bytes.len()));
     }
 
+    /// Returns the number of datagrams.
+    #[must_use]
+    pub const fn len(&self) -> usize {
+        self.datagrams.len()
+    }
+
     /// Tells whether there is nothing to send.
     #[must_use]
     pub const fn is_empty(&self) -> bool {
