Hold openings at the agent while its host has no room

Change: beyond four waiting callers a slot an agent holds openings, most urgent route first and the newest first within it, until there is room or the caller's copy is due.

--- a/crates/coordination/src/passthrough/agent/mod.rs
+++ b/crates/coordination/src/passthrough/agent/mod.rs
@@ -2,9 +2,13 @@
 
 mod control;
 mod flows;
+mod held;
 mod host;
 
-pub use host::ReportOutcome;
+pub use {
+    held::{HeldOpening, HeldOpenings},
+    host::ReportOutcome,
+};
 
 use {
     super::{CatalogueView, FlowMemory, PeerDirectory, PeerDirectoryOptions, flow_hash, rank},
@@ -43,6 +47,12 @@
     pub remembered_owners: usize,
     /// Time for which an owner elsewhere is trusted without a new sign of it.
     pub trust_owner_for: Span,
+    /// Callers that may wait for a host, as a multiple of its slots; further openings are held.
+    /// Two a slot leave slots idle while flows open and close; at five the backend servers, which
+    /// queue four requests a slot, shed load.
+    pub waiting_per_slot: usize,
+    /// Openings that are held.
+    pub held_openings: usize,
     /// Busy hosts that the opening of a flow visits before the least loaded one takes it.
     pub busy_visits: usize,
     /// Interval of announcements.
@@ -72,6 +82,8 @@
             max_flow: Span::from_secs(60),
             remembered_owners: 8_192,
             trust_owner_for: Span::from_millis(1_500),
+            waiting_per_slot: 4,
+            held_openings: 32,
             busy_visits: 3,
             announce_interval: Span::from_millis(250),
             announcements_per_s: 120,
@@ -129,6 +141,8 @@
 pub enum Action {
     /// Gives the packet to the backend server.
     Deliver,
+    /// Gives an earlier packet to the backend server.
+    DeliverStored(Box<[u8]>),
     /// Sends the packet to its caller.
     Answer,
     /// Sends the packet to another agent.
@@ -186,6 +200,7 @@
     /// Whether the backend server may have started anew and has not reported since. Until then it
     /// may be cold, and takes no new flows.
     needs_report: bool,
+    held: HeldOpenings,
     owners: FlowMemory<Ipv4Addr>,
     others: Vec<HostBrief>,
     /// Times from an opening or a request to the first data of its answer.
@@ -218,6 +233,7 @@
             openings: VecDeque::new(),
             unanswered_since: None,
             needs_report: false,
+            held: HeldOpenings::new(options.held_openings),
             owners: FlowMemory::new(options.remembered_owners, options.trust_owner_for),
             others: Vec::new(),
             answer_times: Vec::new(),
@@ -289,6 +305,13 @@
             actions.extend(informed.into_iter().map(|to| Action::Inform { to, flow }));
         });
         actions.push(Action::Answer);
+        self.release_held(now, actions);
+    }
+
+    /// Returns the number of openings that wait for room.
+    #[must_use]
+    pub const fn held(&self) -> usize {
+        self.held.len()
     }
 
     /// Returns the times that callers waited for the first data of an answer since the last call.
@@ -365,6 +388,25 @@
             self.pass_on(header, &flow, actions);
             return;
         }
+        if !self.has_room() {
+            self.held.hold(
+                now,
+                HeldOpening {
+                    flow,
+                    priority: self.catalogue.priority(flow.service),
+                    copies_before: segment.acknowledgment,
+                    header: *header,
+                    packet: packet.into(),
+                },
+            );
+            return;
+        }
+        self.take(now, flow, header, packet);
+        actions.push(Action::Deliver);
+    }
+
+    /// Takes a new flow.
+    fn take(&mut self, now: Time, flow: FlowId, header: &RelayHeader, packet: &[u8]) {
         let mut entry = OwnFlow::new(
             now,
             Phase::Opening {
@@ -378,7 +420,29 @@
         self.openings
             .push_back((now + self.options.opening_timeout, flow));
         self.unanswered_since.get_or_insert(now);
-        actions.push(Action::Deliver);
+    }
+
+    /// Gives held openings to the backend server while it has room.
+    fn release_held(&mut self, now: Time, actions: &mut Vec<Action>) {
+        while !self.held.is_empty() && self.has_room() && self.may_take(now) {
+            let Some(opening) = self.held.take(now) else {
+                return;
+            };
+            let is_open = self
+                .flows
+                .get(&opening.flow)
+                .is_some_and(OwnFlow::is_active);
+            if !is_open {
+                self.take(now, opening.flow, &opening.header, &opening.packet);
+            }
+            actions.push(Action::DeliverStored(opening.packet));
+        }
+    }
+
+    /// Tells whether one more request may wait for the backend server.
+    fn has_room(&self) -> bool {
+        let slots = self.host.as_ref().map_or(0, |host| host.slots as usize);
+        self.flows.waiting() < slots * self.options.waiting_per_slot
     }
 
     fn on_segment(
--- a/crates/coordination/src/passthrough/catalogue.rs
+++ b/crates/coordination/src/passthrough/catalogue.rs
@@ -127,6 +127,12 @@
         })
     }
 
+    /// Returns the order of an address under pressure; 0 goes first.
+    #[must_use]
+    pub fn priority(&self, address: SocketAddrV4) -> u8 {
+        self.route(address).map_or(u8::MAX, |route| route.priority)
+    }
+
     /// Returns where the flow goes; the same for every copy of its opening packet.
     #[must_use]
     pub fn lookup(&self, flow: &FlowId) -> Lookup<'_> {
--- a/crates/coordination/tests/passthrough_scenarios.rs
+++ b/crates/coordination/tests/passthrough_scenarios.rs
@@ -30,6 +30,7 @@
         seed: number(case, "seed", 1),
         agent: AgentOptions {
             busy_visits: number(case, "busy_visits", defaults.agent.busy_visits),
+            waiting_per_slot: number(case, "waiting_per_slot", defaults.agent.waiting_per_slot),
             ..defaults.agent
         },
         ..defaults
--- a/crates/daemon/src/passthrough/agent.rs
+++ b/crates/daemon/src/passthrough/agent.rs
@@ -207,6 +207,13 @@
                 };
                 self.agent
                     .on_relayed(now, &header, &segment, packet, &mut self.actions);
+                if self.actions.is_empty() && self.io.notable.take(now) {
+                    info!(
+                        event = "opening_held", flow:% = segment.flow_from_caller(),
+                        copies_before = segment.acknowledgment, held = self.agent.held();
+                        "opening packet waits for room at the backend server"
+                    );
+                }
                 self.io
                     .perform(now, &mut self.actions, packet, &self.shell.control);
             }
@@ -272,6 +279,7 @@
         }
         let (open_flows, _, _) = self.agent.counts();
         metrics::gauge!("cardamomloom_open_flows").set(open_flows as f64);
+        metrics::gauge!("cardamomloom_held_openings").set(self.agent.held() as f64);
         let mode = if self.agent.should_read(now) {
             ReadMode::Watch
         } else {
@@ -303,6 +311,7 @@
             self.log(now, &action, packet);
             match action {
                 Action::Deliver => self.to_server.push(self.server, &[], packet),
+                Action::DeliverStored(packet) => self.to_server.push(self.server, &[], &packet),
                 Action::Answer => {
                     if let Some(segment) = self.format.parse(packet) {
                         let to = SocketAddrV4::new(*segment.destination.ip(), self.data_port);
@@ -333,7 +342,7 @@
     fn log(&mut self, now: Time, action: &Action, packet: &[u8]) {
         let budget = match action {
             Action::Answer | Action::Inform { .. } => return,
-            Action::Deliver => &mut self.samples,
+            Action::Deliver | Action::DeliverStored(_) => &mut self.samples,
             Action::Relay { header, .. } if header.kind != RelayKind::Search => &mut self.samples,
             _ => &mut self.notable,
         };
@@ -341,14 +350,14 @@
             return;
         }
         let packet = match action {
-            Action::RelayStored { packet, .. } => packet,
+            Action::RelayStored { packet, .. } | Action::DeliverStored(packet) => packet,
             _ => packet,
         };
         let segment = self.format.parse(packet);
         let flow = segment.map(|segment| segment.flow_from_caller().to_string());
         let opens = segment.is_some_and(|segment| segment.is_opening());
         match action {
-            Action::Deliver => {
+            Action::Deliver | Action::DeliverStored(_) => {
                 info!(event = "packet_delivered", flow, opens; "packet goes to the backend server");
             }
             Action::Relay { to, header } | Action::RelayStored { to, header, .. } => info!(
--- a/crates/standins/src/passthrough/world.rs
+++ b/crates/standins/src/passthrough/world.rs
@@ -698,6 +698,7 @@
         for action in actions {
             match action {
                 Action::Deliver => self.at_server(agent, packet),
+                Action::DeliverStored(packet) => self.at_server(agent, &packet),
                 Action::Answer => self.send(Event::ToCaller(packet.to_vec())),
                 Action::Relay { to, header } => {
                     self.send(Event::ToAgent(to, header, packet.to_vec()));
