--- /dev/null
+++ b/crates/coordination/src/passthrough/agent/admission.rs
@@ -0,0 +1,166 @@
+//! Whether the host takes a new flow now, later, or another host has to.
+
+use {
+    super::{Action, Agent, DropReason, OwnFlow, Phase, informed, visited},
+    crate::passthrough::{flow_hash, rank},
+    cardamomloom_core::Time,
+    cardamomloom_protocol::passthrough::{
+        FlowId, HostReportState, LeastLoaded, Life, RelayHeader, RelayKind,
+    },
+    std::net::Ipv4Addr,
+};
+
+impl Agent {
+    /// Takes a new flow.
+    pub(super) fn take(&mut self, now: Time, flow: FlowId, header: &RelayHeader, packet: &[u8]) {
+        let mut entry = OwnFlow::new(
+            now,
+            Phase::Opening {
+                packet: packet.into(),
+                header: *header,
+                is_passed_on: false,
+            },
+        );
+        entry.inform = informed(header);
+        self.flows.insert(flow, entry);
+        self.openings
+            .push_back((now + self.options.opening_timeout, flow));
+        self.unanswered_since.get_or_insert(now);
+    }
+
+    /// Gives held openings to the backend server while it has room.
+    pub(super) fn release_held(&mut self, now: Time, actions: &mut Vec<Action>) {
+        while !self.held.is_empty()
+            && self.has_room()
+            && self.may_take(now)
+            && self.may_start_cold(now)
+        {
+            let Some(opening) = self.held.take(now) else {
+                return;
+            };
+            let is_open = self
+                .flows
+                .get(&opening.flow)
+                .is_some_and(OwnFlow::is_active);
+            if !is_open {
+                self.take(now, opening.flow, &opening.header, &opening.packet);
+            }
+            actions.push(Action::DeliverStored(opening.packet));
+        }
+    }
+
+    /// Tells whether one more request may wait for the backend server.
+    pub(super) fn has_room(&self) -> bool {
+        let slots = self.host.as_ref().map_or(0, |host| host.slots as usize);
+        self.flows.waiting() < slots * self.options.waiting_per_slot
+    }
+
+    /// Tells whether the host takes new flows at all.
+    pub(super) fn may_take(&self, now: Time) -> bool {
+        let Some(host) = &self.host else {
+            return false;
+        };
+        let max_connections = self
+            .catalogue
+            .service(&self.identity.service)
+            .map_or(u32::MAX, |service| service.max_connections);
+        host.state == HostReportState::Ready
+            && !self.control.is_stopping()
+            && !self.is_silent(now)
+            && !self.catalogue.is_out(&self.identity.domain)
+            && self.flows.active() < max_connections as usize
+    }
+
+    /// Tells whether a cold host bears one more flow, and counts it.
+    pub(super) fn may_start_cold(&mut self, now: Time) -> bool {
+        let is_cold = self.host.as_ref().is_some_and(|host| now < host.cold_until);
+        if !is_cold {
+            return true;
+        }
+        // An agent that has just started does not know the rate yet.
+        let Some(limits) = self.catalogue.service(&self.identity.service) else {
+            return false;
+        };
+        limits.cold_flows_per_s <= 0.0 || self.bucket.take(now, limits.cold_flows_per_s)
+    }
+
+    /// Returns how many requests would wait beyond the slots of the host with one more flow, or
+    /// `None` when a slot is free.
+    pub(super) fn excess(&self) -> Option<u8> {
+        let slots = self.host.as_ref().map_or(0, |host| host.slots as usize);
+        let excess = (self.flows.waiting() + 1).saturating_sub(slots);
+        (excess > 0).then(|| u8::try_from(excess).unwrap_or(u8::MAX))
+    }
+
+    /// Passes the opening of a flow on because all slots are in use. The packet visits a few
+    /// hosts at random, which sees their present load; when all are busy, the least loaded one
+    /// takes the flow. `None` when this host is to take it.
+    pub(super) fn pass_on_busy(
+        &self,
+        header: &RelayHeader,
+        flow: &FlowId,
+        excess: u8,
+    ) -> Option<Action> {
+        let mut header = *header;
+        let own_position = u8::try_from(header.visited().len()).unwrap_or(u8::MAX);
+        if excess < header.least_loaded.excess {
+            header.least_loaded = LeastLoaded {
+                position: own_position,
+                excess,
+            };
+        }
+        if header.visited().len() < self.options.busy_visits
+            && let Some((to, header)) = self.next_host(&header, flow)
+        {
+            return Some(Action::Relay { to, header });
+        }
+        if header.least_loaded.position == own_position {
+            return None;
+        }
+        let to = *header
+            .visited()
+            .get(usize::from(header.least_loaded.position))?;
+        let header =
+            header.relayed_by(self.identity.address, RelayKind::Assign, Life::default())?;
+        Some(Action::Relay { to, header })
+    }
+
+    pub(super) fn pass_on(&self, header: &RelayHeader, flow: &FlowId, actions: &mut Vec<Action>) {
+        actions.push(match self.next_host(header, flow) {
+            Some((to, header)) => Action::Relay { to, header },
+            None => Action::Drop(DropReason::NoHost),
+        });
+    }
+
+    /// Returns the next host for an opening packet: one that is not busy before others, by rank.
+    pub(super) fn next_host(
+        &self,
+        header: &RelayHeader,
+        flow: &FlowId,
+    ) -> Option<(Ipv4Addr, RelayHeader)> {
+        let hash = flow_hash(flow);
+        let own = self.identity.address;
+        let next = self
+            .others
+            .iter()
+            .filter(|host| host.accepts_new && host.agent != own && !visited(header, host.agent))
+            .max_by_key(|host| rank(hash, host.agent))?;
+        let header = header.relayed_by(own, RelayKind::PassOn, next.life)?;
+        Some((next.agent, header))
+    }
+
+    /// Tells whether the backend server seems not to run.
+    pub(super) fn is_silent(&self, now: Time) -> bool {
+        let reports_stopped = self
+            .host
+            .as_ref()
+            .is_some_and(|host| now.since(host.reported) > self.options.report_timeout);
+        self.needs_report || self.is_deaf(now) || reports_stopped
+    }
+
+    /// Tells whether openings have been waiting for an answer for long.
+    pub(super) fn is_deaf(&self, now: Time) -> bool {
+        self.unanswered_since
+            .is_some_and(|since| now.since(since) > self.options.suspect_after)
+    }
+}
--- a/crates/coordination/src/passthrough/agent/mod.rs
+++ b/crates/coordination/src/passthrough/agent/mod.rs
@@ -1,21 +1,23 @@
 //! Decisions of an agent: whether its host takes a flow, and who gets packets that it does not take.
 
+mod admission;
 mod control;
 mod flows;
 mod held;
 mod host;
+mod options;
 
 pub use {
     held::{HeldOpening, HeldOpenings},
     host::ReportOutcome,
+    options::AgentOptions,
 };
 
 use {
-    super::{CatalogueView, FlowMemory, PeerDirectory, PeerDirectoryOptions, flow_hash, rank},
+    super::{CatalogueView, FlowMemory, PeerDirectory},
     cardamomloom_core::{DomainName, ServiceName, Span, Time},
     cardamomloom_protocol::passthrough::{
-        FlowId, HostBrief, HostReportState, LeastLoaded, Life, RelayHeader, RelayKind, Segment,
-        ServiceTag,
+        FlowId, HostBrief, HostReportState, Life, RelayHeader, RelayKind, Segment, ServiceTag,
     },
     flows::{OwnFlow, OwnFlows, Phase},
     host::{ColdBucket, Host},
@@ -25,76 +27,6 @@
     },
 };
 
-/// Limits and times of an agent.
-#[derive(Clone, Copy, Debug)]
-pub struct AgentOptions {
-    /// Times of the balancer directory.
-    pub peers: PeerDirectoryOptions,
-    /// Time after which an opening that the backend server does not answer is given to another
-    /// host too. A backend server answers within 1 ms; the caller repeats after 200 ms.
-    pub opening_timeout: Span,
-    /// Silence of the backend server, while openings wait, after which it gets no new ones.
-    pub suspect_after: Span,
-    /// Silence of the reports after which the host takes no new flows: two reports are missing.
-    pub report_timeout: Span,
-    /// Time for which an idle flow is remembered, longer than the idle timeout of the catalogue.
-    pub keep_idle_for: Span,
-    /// Time for which an ended or unanswered flow is remembered, for late packets of its caller.
-    pub keep_ended_for: Span,
-    /// Longest life of a flow; after this the process knows all flows of its host.
-    pub max_flow: Span,
-    /// Flows whose owner elsewhere is remembered.
-    pub remembered_owners: usize,
-    /// Time for which an owner elsewhere is trusted without a new sign of it.
-    pub trust_owner_for: Span,
-    /// Callers that may wait for a host, as a multiple of its slots; further openings are held.
-    /// Two a slot leave slots idle while flows open and close; at five the backend servers, which
-    /// queue four requests a slot, shed load.
-    pub waiting_per_slot: usize,
-    /// Openings that are held.
-    pub held_openings: usize,
-    /// Busy hosts that the opening of a flow visits before the least loaded one takes it.
-    pub busy_visits: usize,
-    /// Interval of announcements.
-    pub announce_interval: Span,
-    /// Announcements a second to all balancers together; with more balancers the interval grows.
-    pub announcements_per_s: u64,
-    /// Interval of announcements while no balancer is heard.
-    pub search_interval: Span,
-    /// Age of the catalogue above which the agent reads the store itself.
-    pub stale_after: Span,
-    /// Time for which a stopping agent waits for its flows, within the time that the platform
-    /// gives.
-    pub stop_timeout: Span,
-    /// Least time between the request to stop and the end, in which balancers turn away.
-    pub stop_linger: Span,
-}
-
-impl Default for AgentOptions {
-    fn default() -> Self {
-        Self {
-            peers: PeerDirectoryOptions::default(),
-            opening_timeout: Span::from_millis(40),
-            suspect_after: Span::from_millis(300),
-            report_timeout: Span::from_millis(2_200),
-            keep_idle_for: Span::from_secs(20),
-            keep_ended_for: Span::from_secs(3),
-            max_flow: Span::from_secs(60),
-            remembered_owners: 8_192,
-            trust_owner_for: Span::from_millis(1_500),
-            waiting_per_slot: 4,
-            held_openings: 32,
-            busy_visits: 3,
-            announce_interval: Span::from_millis(250),
-            announcements_per_s: 120,
-            search_interval: Span::from_millis(100),
-            stale_after: Span::from_millis(2_500),
-            stop_timeout: Span::from_millis(4_500),
-            stop_linger: Span::from_millis(300),
-        }
-    }
-}
-
 /// Who an agent is.
 #[derive(Clone, Debug)]
 pub struct AgentIdentity {
@@ -384,10 +316,6 @@
             actions.push(action);
             return;
         }
-        if !self.may_start_cold(now) {
-            self.pass_on(header, &flow, actions);
-            return;
-        }
         if !self.has_room() {
             self.held.hold(
                 now,
@@ -401,50 +329,14 @@
             );
             return;
         }
+        if !self.may_start_cold(now) {
+            self.pass_on(header, &flow, actions);
+            return;
+        }
         self.take(now, flow, header, packet);
         actions.push(Action::Deliver);
     }
 
-    /// Takes a new flow.
-    fn take(&mut self, now: Time, flow: FlowId, header: &RelayHeader, packet: &[u8]) {
-        let mut entry = OwnFlow::new(
-            now,
-            Phase::Opening {
-                packet: packet.into(),
-                header: *header,
-                is_passed_on: false,
-            },
-        );
-        entry.inform = informed(header);
-        self.flows.insert(flow, entry);
-        self.openings
-            .push_back((now + self.options.opening_timeout, flow));
-        self.unanswered_since.get_or_insert(now);
-    }
-
-    /// Gives held openings to the backend server while it has room.
-    fn release_held(&mut self, now: Time, actions: &mut Vec<Action>) {
-        while !self.held.is_empty() && self.has_room() && self.may_take(now) {
-            let Some(opening) = self.held.take(now) else {
-                return;
-            };
-            let is_open = self
-                .flows
-                .get(&opening.flow)
-                .is_some_and(OwnFlow::is_active);
-            if !is_open {
-                self.take(now, opening.flow, &opening.header, &opening.packet);
-            }
-            actions.push(Action::DeliverStored(opening.packet));
-        }
-    }
-
-    /// Tells whether one more request may wait for the backend server.
-    fn has_room(&self) -> bool {
-        let slots = self.host.as_ref().map_or(0, |host| host.slots as usize);
-        self.flows.waiting() < slots * self.options.waiting_per_slot
-    }
-
     fn on_segment(
         &mut self,
         now: Time,
@@ -558,110 +450,10 @@
         }
     }
 
-    /// Tells whether the host takes new flows at all.
-    fn may_take(&self, now: Time) -> bool {
-        let Some(host) = &self.host else {
-            return false;
-        };
-        let max_connections = self
-            .catalogue
-            .service(&self.identity.service)
-            .map_or(u32::MAX, |service| service.max_connections);
-        host.state == HostReportState::Ready
-            && !self.control.is_stopping()
-            && !self.is_silent(now)
-            && !self.catalogue.is_out(&self.identity.domain)
-            && self.flows.active() < max_connections as usize
-    }
-
-    /// Tells whether a cold host bears one more flow, and counts it.
-    fn may_start_cold(&mut self, now: Time) -> bool {
-        let is_cold = self.host.as_ref().is_some_and(|host| now < host.cold_until);
-        if !is_cold {
-            return true;
-        }
-        // An agent that has just started does not know the rate yet.
-        let Some(limits) = self.catalogue.service(&self.identity.service) else {
-            return false;
-        };
-        limits.cold_flows_per_s <= 0.0 || self.bucket.take(now, limits.cold_flows_per_s)
-    }
-
-    /// Returns how many requests would wait beyond the slots of the host with one more flow, or
-    /// `None` when a slot is free.
-    fn excess(&self) -> Option<u8> {
-        let slots = self.host.as_ref().map_or(0, |host| host.slots as usize);
-        let excess = (self.flows.waiting() + 1).saturating_sub(slots);
-        (excess > 0).then(|| u8::try_from(excess).unwrap_or(u8::MAX))
-    }
-
-    /// Passes the opening of a flow on because all slots are in use. The packet visits a few
-    /// hosts at random, which sees their present load; when all are busy, the least loaded one
-    /// takes the flow. `None` when this host is to take it.
-    fn pass_on_busy(&self, header: &RelayHeader, flow: &FlowId, excess: u8) -> Option<Action> {
-        let mut header = *header;
-        let own_position = u8::try_from(header.visited().len()).unwrap_or(u8::MAX);
-        if excess < header.least_loaded.excess {
-            header.least_loaded = LeastLoaded {
-                position: own_position,
-                excess,
-            };
-        }
-        if header.visited().len() < self.options.busy_visits
-            && let Some((to, header)) = self.next_host(&header, flow)
-        {
-            return Some(Action::Relay { to, header });
-        }
-        if header.least_loaded.position == own_position {
-            return None;
-        }
-        let to = *header
-            .visited()
-            .get(usize::from(header.least_loaded.position))?;
-        let header =
-            header.relayed_by(self.identity.address, RelayKind::Assign, Life::default())?;
-        Some(Action::Relay { to, header })
-    }
-
-    fn pass_on(&self, header: &RelayHeader, flow: &FlowId, actions: &mut Vec<Action>) {
-        actions.push(match self.next_host(header, flow) {
-            Some((to, header)) => Action::Relay { to, header },
-            None => Action::Drop(DropReason::NoHost),
-        });
-    }
-
-    /// Returns the next host for an opening packet: one that is not busy before others, by rank.
-    fn next_host(&self, header: &RelayHeader, flow: &FlowId) -> Option<(Ipv4Addr, RelayHeader)> {
-        let hash = flow_hash(flow);
-        let own = self.identity.address;
-        let next = self
-            .others
-            .iter()
-            .filter(|host| host.accepts_new && host.agent != own && !visited(header, host.agent))
-            .max_by_key(|host| rank(hash, host.agent))?;
-        let header = header.relayed_by(own, RelayKind::PassOn, next.life)?;
-        Some((next.agent, header))
-    }
-
     /// Tells whether the backend server may hold flows that this process does not know.
     fn may_hold_unknown(&self, now: Time) -> bool {
         !self.saw_birth && now.since(self.started) <= self.options.max_flow
     }
-
-    /// Tells whether the backend server seems not to run.
-    fn is_silent(&self, now: Time) -> bool {
-        let reports_stopped = self
-            .host
-            .as_ref()
-            .is_some_and(|host| now.since(host.reported) > self.options.report_timeout);
-        self.needs_report || self.is_deaf(now) || reports_stopped
-    }
-
-    /// Tells whether openings have been waiting for an answer for long.
-    fn is_deaf(&self, now: Time) -> bool {
-        self.unanswered_since
-            .is_some_and(|since| now.since(since) > self.options.suspect_after)
-    }
 }
 
 fn visited(header: &RelayHeader, agent: Ipv4Addr) -> bool {
--- a/crates/daemon/src/passthrough/agent.rs
+++ b/crates/daemon/src/passthrough/agent.rs
@@ -6,7 +6,6 @@
         decisions::LineBudget,
         node::{Event, Shell, run_loop},
         sockets::{Outbox, Port},
-        store_reader::ReadMode,
     },
     crate::settings::{PassThroughAgentSettings, PassThroughSettings},
     cardamomloom_coordination::passthrough::agent::{
@@ -280,16 +279,7 @@
         let (open_flows, _, _) = self.agent.counts();
         metrics::gauge!("cardamomloom_open_flows").set(open_flows as f64);
         metrics::gauge!("cardamomloom_held_openings").set(self.agent.held() as f64);
-        let mode = if self.agent.should_read(now) {
-            ReadMode::Watch
-        } else {
-            ReadMode::Idle
-        };
-        self.shell.read_mode.send_if_modified(|present| {
-            let is_change = *present != mode;
-            *present = mode;
-            is_change
-        });
+        self.shell.set_reading(self.agent.should_read(now));
         if !self.shell.copier.is_busy()
             && let Some(peer) = self.agent.snapshot_source(now)
         {
--- a/crates/daemon/src/passthrough/balancer.rs
+++ b/crates/daemon/src/passthrough/balancer.rs
@@ -7,7 +7,6 @@
         node::{Event, Shell, run_loop},
         registry,
         sockets::Outbox,
-        store_reader::ReadMode,
     },
     crate::settings::PassThroughSettings,
     cardamomloom_coordination::passthrough::balancer::{
@@ -268,16 +267,7 @@
             info!(event = "readiness", is_ready, hosts, balancers; "readiness changed");
             self.shell.is_ready.store(is_ready, Ordering::Relaxed);
         }
-        let mode = if self.balancer.should_read(now) {
-            ReadMode::Watch
-        } else {
-            ReadMode::Idle
-        };
-        self.shell.read_mode.send_if_modified(|present| {
-            let is_change = *present != mode;
-            *present = mode;
-            is_change
-        });
+        self.shell.set_reading(self.balancer.should_read(now));
         if !self.shell.copier.is_busy()
             && let Some(peer) = self.balancer.snapshot_source(now)
         {
--- a/crates/daemon/src/passthrough/node.rs
+++ b/crates/daemon/src/passthrough/node.rs
@@ -142,6 +142,20 @@
         };
         Ok((shell, inbox))
     }
+
+    /// Starts or ends the reading of the store.
+    pub fn set_reading(&self, should_read: bool) {
+        let mode = if should_read {
+            ReadMode::Watch
+        } else {
+            ReadMode::Idle
+        };
+        self.read_mode.send_if_modified(|present| {
+            let is_change = *present != mode;
+            *present = mode;
+            is_change
+        });
+    }
 }
 
 /// Sends and receives control messages.
--- /dev/null
+++ b/crates/standins/src/passthrough/world/layout.rs
@@ -0,0 +1,65 @@
+//! Names and addresses of a world, and its catalogue.
+
+use {
+    super::WorldOptions,
+    cardamomloom_core::{DomainName, ServiceName},
+    cardamomloom_protocol::passthrough::{
+        CatalogueDocument, CatalogueVersion, RouteEntry, RouteTarget, ServiceEntry,
+    },
+    std::net::{Ipv4Addr, SocketAddrV4},
+};
+
+pub(super) const fn balancer_address(index: u8) -> Ipv4Addr {
+    Ipv4Addr::new(10, 0, 0, index + 1)
+}
+
+pub(super) const fn agent_address(service: u8, index: u8) -> Ipv4Addr {
+    Ipv4Addr::new(10, 1, service, index)
+}
+
+pub(super) const fn server_address(agent: Ipv4Addr) -> SocketAddrV4 {
+    SocketAddrV4::new(agent, 8_080)
+}
+
+pub(super) const fn service_route(service: u8) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, service + 1), 443)
+}
+
+pub(super) fn service_name(service: u8) -> ServiceName {
+    format!("service-{service}").parse().expect("valid name")
+}
+
+pub(super) fn domain_name(index: u8) -> DomainName {
+    format!("domain-{index}").parse().expect("valid name")
+}
+
+pub(super) fn route(address: SocketAddrV4, service: u8) -> RouteEntry {
+    RouteEntry {
+        name: address.to_string().into(),
+        address,
+        targets: vec![RouteTarget {
+            service: service_name(service),
+            weight: 1,
+        }],
+        is_idempotent: true,
+        priority: 1,
+    }
+}
+
+pub(super) fn document(options: &WorldOptions) -> CatalogueDocument {
+    CatalogueDocument {
+        version: CatalogueVersion(1),
+        routes: (0..options.services)
+            .map(|service| route(service_route(service), service))
+            .collect(),
+        services: (0..options.services)
+            .map(|service| ServiceEntry {
+                name: service_name(service),
+                max_connections: 2_000,
+                cold_flows_per_s: options.cold_flows_per_s,
+                cold_for_ms: options.cold_for.as_millis(),
+            })
+            .collect(),
+        idle_timeout_ms: 15_000,
+    }
+}
