--- a/crates/coordination/src/passthrough/hosts.rs
+++ b/crates/coordination/src/passthrough/hosts.rs
@@ -3,9 +3,7 @@
 use {
     super::rank,
     cardamomloom_core::{DomainName, ServiceName, Span, Time},
-    cardamomloom_protocol::passthrough::{
-        Announcement, CatalogueVersion, HostBrief, HostStanding, Life,
-    },
+    cardamomloom_protocol::passthrough::{Announcement, HostBrief, HostStanding, Life},
     std::{collections::HashMap, net::Ipv4Addr},
 };
 
@@ -235,14 +233,6 @@
         self.records.is_empty()
     }
 
-    /// Returns the agents that announced themselves since `version` was current to them.
-    pub fn lagging(&self, version: CatalogueVersion) -> impl Iterator<Item = Ipv4Addr> {
-        self.records
-            .values()
-            .filter(move |record| record.announcement.catalogue < version)
-            .map(|record| record.announcement.agent)
-    }
-
     /// Returns the life of the backend server beside an agent.
     #[must_use]
     pub fn life(&self, agent: Ipv4Addr) -> Life {
--- a/crates/coordination/src/passthrough/memory.rs
+++ b/crates/coordination/src/passthrough/memory.rs
@@ -47,11 +47,6 @@
         self.entries.insert(flow, (now, value));
     }
 
-    /// Forgets a flow.
-    pub fn remove(&mut self, flow: &FlowId) -> Option<T> {
-        self.entries.remove(flow).map(|(_, value)| value)
-    }
-
     /// Returns the number of entries.
     #[must_use]
     pub fn len(&self) -> usize {
