Judge backend servers by their answers

Cause: a host that fails part of its requests while its reports are good got its full share of new flows, because agents looked only at load.

Change: the agent counts the outcomes of requests (status codes of answers, resets, callers that give up), with a half-life of a second, and passes on up to seven of eight new flows along the candidates of a busy host. Requests shed by an overloaded host do not count. Log events host_failing and host_recovered, metrics for outcomes and the share.

--- a/crates/coordination/src/passthrough/agent/admission.rs
+++ b/crates/coordination/src/passthrough/agent/admission.rs
@@ -10,6 +10,9 @@
     std::net::Ipv4Addr,
 };
 
+/// Excess of a host whose backend server fails requests: any other host goes first.
+const FAILING_EXCESS: u8 = u8::MAX - 1;
+
 impl Agent {
     /// Takes a new flow.
     pub(super) fn take(&mut self, now: Time, flow: FlowId, header: &RelayHeader, packet: &[u8]) {
@@ -92,6 +95,23 @@
         (excess > 0).then(|| u8::try_from(excess).unwrap_or(u8::MAX))
     }
 
+    /// Tells whether more requests wait than the backend server has slots.
+    pub(super) fn is_overloaded(&self) -> bool {
+        let slots = self.host.as_ref().map_or(0, |host| host.slots as usize);
+        self.flows.waiting() > slots
+    }
+
+    /// Returns how much this host would rather not take a new flow, or `None` when it takes it:
+    /// its excess, or more than any excess when it fails requests and this flow is not one of the
+    /// few that try it.
+    pub(super) fn reluctance(&mut self, now: Time) -> Option<u8> {
+        if self.outcomes.admits(now) {
+            self.excess()
+        } else {
+            Some(FAILING_EXCESS)
+        }
+    }
+
     /// Passes the opening of a flow on because all slots are in use. The packet visits a few
     /// hosts at random, which sees their present load; when all are busy, the least loaded one
     /// takes the flow. `None` when this host is to take it.
--- a/crates/coordination/src/passthrough/agent/control.rs
+++ b/crates/coordination/src/passthrough/agent/control.rs
@@ -12,6 +12,9 @@
     std::net::Ipv4Addr,
 };
 
+/// Share of new flows below which the log says that the backend server fails requests.
+const FAILING_SHARE: f64 = 0.5;
+
 #[derive(Debug, Default)]
 pub(super) struct ControlState {
     next_announcement: Time,
@@ -20,6 +23,8 @@
     /// A balancer that has a newer catalogue.
     ahead: Option<Ipv4Addr>,
     last_standing: Option<HostStanding>,
+    /// Whether the log says that the backend server fails requests.
+    is_failing: bool,
 }
 
 impl ControlState {
@@ -57,6 +62,7 @@
             ReportOutcome::NewLife => {
                 self.saw_birth = true;
                 self.bucket = ColdBucket::empty(now);
+                self.outcomes.restart();
                 self.reset_flows(last_report, actions);
             }
             ReportOutcome::Changed => {}
@@ -85,6 +91,7 @@
             self.control.next_announcement = Time::ZERO;
             info!(event = "standing", standing:? = standing, open_flows = self.flows.active(); "state of the host as announced");
         }
+        self.log_outcomes(now);
         if now < self.control.next_announcement {
             return Vec::new();
         }
@@ -306,6 +313,26 @@
         }
     }
 
+    /// Logs when the backend server begins to fail requests, and when it has recovered.
+    fn log_outcomes(&mut self, now: Time) {
+        let admitted_share = self.outcomes.admitted_share(now);
+        let is_change = if self.control.is_failing {
+            admitted_share >= 1.0
+        } else {
+            admitted_share < FAILING_SHARE
+        };
+        if !is_change {
+            return;
+        }
+        self.control.is_failing = !self.control.is_failing;
+        let (answered, failed) = self.outcomes.totals();
+        if self.control.is_failing {
+            warn!(event = "host_failing", admitted_share, answered, failed; "backend server fails requests; most new flows go to other hosts");
+        } else {
+            info!(event = "host_recovered", answered, failed; "backend server answers again");
+        }
+    }
+
     fn standing(&self, now: Time) -> HostStanding {
         let Some(host) = &self.host else {
             return HostStanding::Starting;
--- a/crates/coordination/src/passthrough/agent/mod.rs
+++ b/crates/coordination/src/passthrough/agent/mod.rs
@@ -6,11 +6,13 @@
 mod held;
 mod host;
 mod options;
+mod outcomes;
 
 pub use {
     held::{HeldOpening, HeldOpenings},
     host::ReportOutcome,
     options::AgentOptions,
+    outcomes::{Outcome, OutcomeOptions, Outcomes},
 };
 
 use {
@@ -42,6 +44,12 @@
     pub server: SocketAddrV4,
 }
 
+/// First status code by which a backend server says that it failed (RFC 9110, section 15.6).
+const STATUS_SERVER_ERRORS: u16 = 500;
+
+/// Status code by which a backend server sheds a request (RFC 9110, section 15.6.4).
+const STATUS_UNAVAILABLE: u16 = 503;
+
 /// Why an agent drops a packet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum DropReason {
@@ -133,6 +141,7 @@
     /// may be cold, and takes no new flows.
     needs_report: bool,
     held: HeldOpenings,
+    outcomes: Outcomes,
     owners: FlowMemory<Ipv4Addr>,
     others: Vec<HostBrief>,
     /// Times from an opening or a request to the first data of its answer.
@@ -166,6 +175,7 @@
             unanswered_since: None,
             needs_report: false,
             held: HeldOpenings::new(options.held_openings),
+            outcomes: Outcomes::new(options.outcomes),
             owners: FlowMemory::new(options.remembered_owners, options.trust_owner_for),
             others: Vec::new(),
             answer_times: Vec::new(),
@@ -222,12 +232,19 @@
         if self.flows.get(&flow).is_none() {
             self.flows.insert(flow, OwnFlow::new(now, Phase::Open));
         }
+        let is_overloaded = self.is_overloaded();
         self.flows.update(&flow, |entry| {
             entry.used = now;
             entry.server_sequence = Some(segment.sequence);
             entry.is_server_finished |= segment.flags.is_fin;
-            if segment.payload_bytes > 0 && std::mem::take(&mut entry.is_waiting) {
-                self.answer_times.push(now.since(entry.asked));
+            let is_answer = segment.payload_bytes > 0 || segment.flags.is_rst;
+            if is_answer && std::mem::take(&mut entry.is_waiting) {
+                if segment.payload_bytes > 0 {
+                    self.answer_times.push(now.since(entry.asked));
+                }
+                if let Some(outcome) = outcome_of(segment, is_overloaded) {
+                    self.outcomes.record(now, outcome);
+                }
             }
             if matches!(entry.phase, Phase::Opening { .. } | Phase::Probing) {
                 entry.phase = Phase::Open;
@@ -251,6 +268,12 @@
         self.answer_times.drain(..)
     }
 
+    /// Returns how well the backend server answers.
+    #[must_use]
+    pub const fn outcomes(&self) -> &Outcomes {
+        &self.outcomes
+    }
+
     /// Remembers the owner of a flow.
     pub fn on_owner(&mut self, now: Time, flow: FlowId, agent: Ipv4Addr) {
         if agent != self.identity.address {
@@ -309,7 +332,7 @@
             self.pass_on(header, &flow, actions);
             return;
         }
-        if let Some(excess) = self.excess()
+        if let Some(excess) = self.reluctance(now)
             && header.kind != RelayKind::Assign
             && let Some(action) = self.pass_on_busy(header, &flow, excess)
         {
@@ -353,6 +376,12 @@
             self.flows.update(&flow, |entry| {
                 entry.used = now;
                 entry.is_caller_finished |= segment.flags.is_fin;
+                let waited = now.since(entry.asked);
+                let gives_up = segment.flags.is_fin || segment.flags.is_rst;
+                if gives_up && entry.is_waiting && waited >= self.options.answer_patience {
+                    entry.is_waiting = false;
+                    self.outcomes.record(now, Outcome::Failed);
+                }
                 if segment.payload_bytes > 0 && !std::mem::replace(&mut entry.is_waiting, true) {
                     entry.asked = now;
                 }
@@ -469,6 +498,17 @@
     visited.chain([&header.balancer]).copied().collect()
 }
 
+/// Returns what an answer says about the backend server. Requests that an overloaded one sheds
+/// say nothing about its health.
+const fn outcome_of(answer: &Segment, is_overloaded: bool) -> Option<Outcome> {
+    match answer.answer_status {
+        Some(STATUS_UNAVAILABLE) if is_overloaded => None,
+        Some(status) if status >= STATUS_SERVER_ERRORS => Some(Outcome::Failed),
+        None if answer.flags.is_rst => Some(Outcome::Failed),
+        Some(_) | None => Some(Outcome::Answered),
+    }
+}
+
 fn end_if_finished(entry: &mut OwnFlow, segment: &Segment) {
     if segment.flags.is_rst || (entry.is_caller_finished && entry.is_server_finished) {
         entry.phase = Phase::Ended;
--- a/crates/coordination/src/passthrough/agent/options.rs
+++ b/crates/coordination/src/passthrough/agent/options.rs
@@ -1,6 +1,6 @@
 //! Limits and times of an agent.
 
-use {crate::passthrough::PeerDirectoryOptions, cardamomloom_core::Span};
+use {super::OutcomeOptions, crate::passthrough::PeerDirectoryOptions, cardamomloom_core::Span};
 
 /// Limits and times of an agent.
 #[derive(Clone, Copy, Debug)]
@@ -32,6 +32,11 @@
     pub held_openings: usize,
     /// Busy hosts that the opening of a flow visits before the least loaded one takes it.
     pub busy_visits: usize,
+    /// When new flows go to other hosts because the backend server fails requests.
+    pub outcomes: OutcomeOptions,
+    /// Wait of a caller after which the request counts as failed when the caller gives up: longer
+    /// than the work of any request with a full queue before it.
+    pub answer_patience: Span,
     /// Interval of announcements.
     pub announce_interval: Span,
     /// Announcements a second to all balancers together; with more balancers the interval grows.
@@ -62,6 +67,8 @@
             waiting_per_slot: 4,
             held_openings: 32,
             busy_visits: 3,
+            outcomes: OutcomeOptions::default(),
+            answer_patience: Span::from_secs(1),
             announce_interval: Span::from_millis(250),
             announcements_per_s: 120,
             search_interval: Span::from_millis(100),
--- a/crates/coordination/tests/passthrough_scenarios.rs
+++ b/crates/coordination/tests/passthrough_scenarios.rs
@@ -2,7 +2,7 @@
 //! and callers in virtual time, with an oracle that checks the promises.
 
 use {
-    cardamomloom_coordination::passthrough::agent::AgentOptions,
+    cardamomloom_coordination::passthrough::agent::{AgentOptions, OutcomeOptions},
     cardamomloom_core::Span,
     cardamomloom_standins::passthrough::{CallerOptions, HostOptions, Load, World, WorldOptions},
     datadriven::{TestCase, walk},
@@ -17,6 +17,7 @@
 
 fn create(case: &mut TestCase) -> World {
     let defaults = WorldOptions::default();
+    let outcomes = defaults.agent.outcomes;
     World::new(WorldOptions {
         balancers: number(case, "balancers", defaults.balancers),
         hosts: number(case, "hosts", defaults.hosts),
@@ -29,6 +30,10 @@
         loss: number(case, "loss", 0.0),
         seed: number(case, "seed", 1),
         agent: AgentOptions {
+            outcomes: OutcomeOptions {
+                least_share: number(case, "least_share", outcomes.least_share),
+                ..outcomes
+            },
             busy_visits: number(case, "busy_visits", defaults.agent.busy_visits),
             waiting_per_slot: number(case, "waiting_per_slot", defaults.agent.waiting_per_slot),
             ..defaults.agent
@@ -58,6 +63,7 @@
             });
         }
         "drain" => world.drain_server(host),
+        "failing" => world.set_failing(host, number(case, "share", 0.0)),
         "crash-server" => world.crash_server(host),
         "restart-server" => {
             let reports_at_once = !case.take_flag("late").expect("flag");
@@ -103,6 +109,7 @@
         ("refused", tally.refused),
         ("not_opened", tally.not_opened),
         ("timed_out", tally.timed_out),
+        ("failed", tally.failed),
         ("shed", tally.shed),
     ] {
         if case.take_flag(name).expect("flag") {
--- a/crates/daemon/src/passthrough/agent.rs
+++ b/crates/daemon/src/passthrough/agent.rs
@@ -279,6 +279,12 @@
         let (open_flows, _, _) = self.agent.counts();
         metrics::gauge!("cardamomloom_open_flows").set(open_flows as f64);
         metrics::gauge!("cardamomloom_held_openings").set(self.agent.held() as f64);
+        let outcomes = self.agent.outcomes();
+        let (answered, failed) = outcomes.totals();
+        metrics::counter!("cardamomloom_outcomes_total", "outcome" => "answered")
+            .absolute(answered);
+        metrics::counter!("cardamomloom_outcomes_total", "outcome" => "failed").absolute(failed);
+        metrics::gauge!("cardamomloom_admitted_share").set(outcomes.admitted_share(now));
         self.shell.set_reading(self.agent.should_read(now));
         if !self.shell.copier.is_busy()
             && let Some(peer) = self.agent.snapshot_source(now)
--- a/crates/protocol/src/passthrough/segment.rs
+++ b/crates/protocol/src/passthrough/segment.rs
@@ -51,6 +51,8 @@
     pub acknowledgment: u32,
     /// Bytes of data.
     pub payload_bytes: u16,
+    /// Status code of the answer, as in HTTP, if the data look like the beginning of one.
+    pub answer_status: Option<u16>,
 }
 
 impl Segment {
@@ -89,6 +91,7 @@
             sequence,
             acknowledgment: 0,
             payload_bytes: 0,
+            answer_status: None,
         }
     }
 
--- a/crates/standins/src/passthrough/caller.rs
+++ b/crates/standins/src/passthrough/caller.rs
@@ -1,6 +1,7 @@
 //! A caller that opens one flow and sends requests on it, one after the other.
 
 use {
+    super::host::FAILURE,
     cardamomloom_core::{Span, Time},
     cardamomloom_protocol::passthrough::{FlowId, Segment, SegmentFlags},
 };
@@ -39,6 +40,8 @@
     Reset,
     /// A request was not answered in time.
     TimedOut,
+    /// The backend server answered that a request failed.
+    Failed,
     /// An answer belongs to another request.
     WrongAnswer,
 }
@@ -198,6 +201,10 @@
     }
 
     fn on_answer(&mut self, now: Time, payload: &[u8]) -> Vec<(Segment, Vec<u8>)> {
+        if payload == (self.number | FAILURE).to_be_bytes() {
+            self.phase = Phase::Done(CallerOutcome::Failed);
+            return Vec::new();
+        }
         if payload != self.number.to_be_bytes() {
             self.phase = Phase::Done(CallerOutcome::WrongAnswer);
             return Vec::new();
@@ -249,6 +256,7 @@
             sequence,
             acknowledgment: self.expected,
             payload_bytes,
+            answer_status: None,
         }
     }
 }
--- a/crates/standins/src/passthrough/format.rs
+++ b/crates/standins/src/passthrough/format.rs
@@ -1,6 +1,7 @@
 //! A packet format for tests.
 
 use {
+    super::host::status_of,
     cardamomloom_protocol::passthrough::{PacketFormat, Segment, SegmentFlags},
     std::net::{Ipv4Addr, SocketAddrV4},
 };
@@ -33,6 +34,7 @@
             sequence: number(13),
             acknowledgment: number(17),
             payload_bytes: u16::try_from(payload.len()).ok()?,
+            answer_status: answer_status(payload),
         })
     }
 
@@ -62,3 +64,7 @@
         packet
     }
 }
+
+fn answer_status(payload: &[u8]) -> Option<u16> {
+    Some(status_of(u64::from_be_bytes(payload.try_into().ok()?)))
+}
--- a/crates/standins/src/passthrough/host.rs
+++ b/crates/standins/src/passthrough/host.rs
@@ -59,6 +59,8 @@
     waiting: VecDeque<(FlowId, u64)>,
     /// Gives the first sequence numbers of flows.
     random: ChaCha8Rng,
+    /// Share of requests that it fails.
+    failing: f64,
     /// Time until which it resets packets of flows that it does not hold, in place of returning
     /// them.
     starts_until: Time,
@@ -69,6 +71,9 @@
 /// Bytes of a request and of an answer: its number.
 const MESSAGE_BYTES: u16 = 8;
 
+/// Marks the number in an answer that says that the request failed.
+pub(super) const FAILURE: u64 = 1 << 63;
+
 impl HostModel {
     /// Creates a backend server; `seed` makes its sequence numbers differ from those of others, and
     /// it is starting until `starts_until`.
@@ -80,11 +85,17 @@
             running: Vec::new(),
             waiting: VecDeque::new(),
             random: ChaCha8Rng::seed_from_u64(seed),
+            failing: 0.0,
             starts_until,
             taken: Vec::new(),
         }
     }
 
+    /// Sets the share of requests that it fails.
+    pub const fn set_failing(&mut self, share: f64) {
+        self.failing = share;
+    }
+
     /// Tells whether it holds an open flow.
     #[must_use]
     pub fn holds(&self, flow: &FlowId) -> bool {
@@ -223,12 +234,15 @@
             sequence: first,
             acknowledgment: segment.sequence.wrapping_add(1),
             payload_bytes: 0,
+            answer_status: None,
         };
         (opening, Vec::new())
     }
 
     fn request(&mut self, now: Time, flow: FlowId, number: u64) {
-        if self.running.len() < self.options.slots {
+        if self.failing > 0.0 && self.random.random_bool(self.failing) {
+            self.running.push((now, flow, number | FAILURE));
+        } else if self.running.len() < self.options.slots {
             self.running.push((now + self.options.work, flow, number));
         } else if self.waiting.len() < self.options.queue {
             self.waiting.push_back((flow, number));
@@ -254,6 +268,7 @@
         sequence: held.sequence,
         acknowledgment: segment.sequence.wrapping_add(1),
         payload_bytes: 0,
+        answer_status: None,
     };
     (answer, Vec::new())
 }
@@ -269,6 +284,12 @@
         sequence,
         acknowledgment,
         payload_bytes: MESSAGE_BYTES,
+        answer_status: Some(status_of(number)),
     };
     (segment, number.to_be_bytes().to_vec())
 }
+
+/// Returns the status code that the number in an answer stands for.
+pub(super) const fn status_of(number: u64) -> u16 {
+    if number & FAILURE == 0 { 200 } else { 500 }
+}
--- a/crates/standins/src/passthrough/oracle.rs
+++ b/crates/standins/src/passthrough/oracle.rs
@@ -46,6 +46,8 @@
     pub reset: usize,
     /// Open flows with a request that was not answered in time.
     pub timed_out: usize,
+    /// Flows with a request that the backend server failed.
+    pub failed: usize,
     /// Requests that backend servers shed.
     pub shed: usize,
     /// Longest times of the flows that were served.
@@ -274,6 +276,7 @@
             CallerOutcome::Refused => self.tally.refused += 1,
             CallerOutcome::Reset => self.tally.reset += 1,
             CallerOutcome::TimedOut => self.tally.timed_out += 1,
+            CallerOutcome::Failed => self.tally.failed += 1,
             CallerOutcome::WrongAnswer => {
                 self.violate(now, "whole answer", format!("{flow} got another answer"));
             }
