Send beats in place of whole states and lists; offer flows to cold hosts with room only

Cause: agents sent their whole state up to 120 times a second and got the whole list of hosts with each answer: 39,642 bytes/s of the busiest balancer and 5,280 of the busiest agent at 22 balancers, above the 3 KB/s of the plan.

Change: an agent announces its state when it changes and when a balancer lacks it, and sends beats of about 30 bytes otherwise. Lists of hosts are left out when the digest of the receiver is the same, and lists of balancers but for every 32nd view and the 2 s after a change. Load figures that no decision used are gone. A cold host without room passes on without a claim.

--- a/crates/coordination/src/passthrough/agent/admission.rs
+++ b/crates/coordination/src/passthrough/agent/admission.rs
@@ -76,15 +76,29 @@
 
     /// Tells whether a cold host bears one more flow, and counts it.
     pub(super) fn may_start_cold(&mut self, now: Time) -> bool {
+        match self.cold_flows_per_s(now) {
+            Some(flows_per_s) => self.bucket.take(now, flows_per_s),
+            None => true,
+        }
+    }
+
+    /// Tells whether the host bears one more flow, if it is cold.
+    pub(super) fn bears_one_more(&self, now: Time) -> bool {
+        self.cold_flows_per_s(now)
+            .is_none_or(|flows_per_s| self.bucket.has_token(now, flows_per_s))
+    }
+
+    /// Returns the new flows a second that the host bears because it is cold, or `None` without a
+    /// limit.
+    fn cold_flows_per_s(&self, now: Time) -> Option<f64> {
         let is_cold = self.host.as_ref().is_some_and(|host| now < host.cold_until);
         if !is_cold {
-            return true;
+            return None;
         }
         // An agent that has just started does not know the rate yet.
-        let Some(limits) = self.catalogue.service(&self.identity.service) else {
-            return false;
-        };
-        limits.cold_flows_per_s <= 0.0 || self.bucket.take(now, limits.cold_flows_per_s)
+        let limits = self.catalogue.service(&self.identity.service);
+        let flows_per_s = limits.map_or(f64::MIN_POSITIVE, |limits| limits.cold_flows_per_s);
+        (flows_per_s > 0.0).then_some(flows_per_s)
     }
 
     /// Returns how many requests would wait beyond the slots of the host with one more flow, or
@@ -114,32 +128,37 @@
 
     /// Passes the opening of a flow on because all slots are in use. The packet visits a few
     /// hosts at random, which sees their present load; when all are busy, the least loaded one
-    /// takes the flow. `None` when this host is to take it.
+    /// takes the flow. `None` when this host is to take it. A host without an excess cannot take
+    /// it; the result is then `None` when no other one is known that can.
     pub(super) fn pass_on_busy(
         &self,
         header: &RelayHeader,
         flow: &FlowId,
-        excess: u8,
+        excess: Option<u8>,
     ) -> Option<Action> {
         let mut header = *header;
         let own_position = u8::try_from(header.visited().len()).unwrap_or(u8::MAX);
-        if excess < header.least_loaded.excess {
+        if let Some(excess) = excess
+            && excess < header.least_loaded.excess
+        {
             header.least_loaded = LeastLoaded {
                 position: own_position,
                 excess,
             };
         }
-        if header.visited().len() < self.options.busy_visits
+        let is_claimed = header.least_loaded.excess < u8::MAX;
+        if (header.visited().len() < self.options.busy_visits || !is_claimed)
             && let Some((to, header)) = self.next_host(&header, flow)
         {
             return Some(Action::Relay { to, header });
         }
-        if header.least_loaded.position == own_position {
+        if !is_claimed || header.least_loaded.position == own_position {
             return None;
         }
         let to = *header
             .visited()
-            .get(usize::from(header.least_loaded.position))?;
+            .get(usize::from(header.least_loaded.position))
+            .filter(|to| **to != self.identity.address)?;
         let header =
             header.relayed_by(self.identity.address, RelayKind::Assign, Life::default())?;
         Some(Action::Relay { to, header })
--- a/crates/coordination/src/passthrough/agent/control.rs
+++ b/crates/coordination/src/passthrough/agent/control.rs
@@ -5,13 +5,17 @@
     crate::passthrough::{as_millis_u16, balancer::Outgoing, paced_interval},
     cardamomloom_core::{Span, Time},
     cardamomloom_protocol::passthrough::{
-        Announcement, BalancerView, CatalogueDocument, HostReport, HostStanding, PeerMessage,
-        Registration, Snapshot, ZoneStanding,
+        Announcement, BalancerView, Beat, CatalogueDocument, HostReport, HostStanding, ListDigest,
+        PeerMessage, Registration, Snapshot, ZoneStanding,
     },
     log::{info, warn},
     std::net::Ipv4Addr,
 };
 
+/// Time after a change of the state in which it is repeated, so that a lost message does not delay
+/// it: two intervals.
+const REPEAT_SPAN: Span = Span::from_millis(600);
+
 /// Share of new flows below which the log says that the backend server fails requests.
 const FAILING_SHARE: f64 = 0.5;
 
@@ -19,6 +23,12 @@
 pub(super) struct ControlState {
     next_announcement: Time,
     sequence: u64,
+    /// State that was announced last.
+    announced: Option<Announcement>,
+    /// Time at which the state last changed.
+    changed: Time,
+    /// Digest of the hosts that the agent knows.
+    hosts_digest: ListDigest,
     stopping_since: Option<Time>,
     /// A balancer that has a newer catalogue.
     ahead: Option<Ipv4Addr>,
@@ -124,7 +134,7 @@
                 self.on_owner(now, owner.flow, owner.agent);
                 Vec::new()
             }
-            PeerMessage::Announcement(_) => Vec::new(),
+            PeerMessage::Announcement(_) | PeerMessage::Beat(_) => Vec::new(),
         }
     }
 
@@ -236,17 +246,24 @@
                 .confirm(now - Span::from_millis(u64::from(ago_ms)));
         }
         if !view.hosts.is_empty() {
+            self.control.hosts_digest = ListDigest::of(&view.hosts);
             self.others = view.hosts;
         }
-        let mut outgoing = Vec::new();
-        for to in added {
-            let announcement = self.announcement(now, false);
-            outgoing.push(Outgoing {
-                to,
-                message: PeerMessage::Announcement(announcement),
-            });
+        let mut receivers = added;
+        if view.wants_answer && !receivers.contains(&view.balancer) {
+            receivers.push(view.balancer);
+        }
+        if receivers.is_empty() {
+            return Vec::new();
         }
-        outgoing
+        let message = PeerMessage::Announcement(self.announcement(now));
+        receivers
+            .into_iter()
+            .map(|to| Outgoing {
+                to,
+                message: message.clone(),
+            })
+            .collect()
     }
 
     /// Resets the flows that were open before the last report of an earlier life. Later ones may
@@ -264,22 +281,36 @@
         actions.extend(resets);
     }
 
-    /// One balancer at a time, in turn, is asked for the hosts of the service.
+    /// Tells all balancers the state for a while after it has changed, and otherwise only that it
+    /// is the same. One balancer at a time, in turn, is asked for the hosts of the service.
     fn announcements(&mut self, now: Time) -> Vec<Outgoing> {
         let balancers: Vec<Ipv4Addr> = self.peers.addresses().collect();
         let live: Vec<Ipv4Addr> = self.peers.live(now).collect();
+        let announcement = self.announcement(now);
         let turn = usize::try_from(self.control.sequence).unwrap_or_default();
         let asked = live.get(turn % live.len().max(1)).copied();
-        self.control.sequence += 1;
-        let announcement = self.announcement(now, false);
+        let tells_state = asked.is_none() || now.since(self.control.changed) <= REPEAT_SPAN;
         balancers
             .into_iter()
-            .map(|to| Outgoing {
-                to,
-                message: PeerMessage::Announcement(Announcement {
-                    wants_hosts: asked.is_none_or(|asked| asked == to),
-                    ..announcement.clone()
-                }),
+            .map(|to| {
+                let asks_hosts = asked
+                    .is_none_or(|asked| asked == to)
+                    .then_some(self.control.hosts_digest);
+                let message = if tells_state {
+                    PeerMessage::Announcement(Announcement {
+                        asks_hosts,
+                        ..announcement.clone()
+                    })
+                } else {
+                    PeerMessage::Beat(Beat {
+                        agent: announcement.agent,
+                        process: announcement.process,
+                        sequence: announcement.sequence,
+                        revision: announcement.revision,
+                        asks_hosts,
+                    })
+                };
+                Outgoing { to, message }
             })
             .collect()
     }
@@ -293,24 +324,36 @@
         )
     }
 
-    fn announcement(&self, now: Time, wants_hosts: bool) -> Announcement {
-        Announcement {
+    /// Returns the present state with the next number.
+    fn announcement(&mut self, now: Time) -> Announcement {
+        self.control.sequence += 1;
+        let last = self.control.announced.take();
+        let revision = last.as_ref().map_or(0, |last| last.revision);
+        let mut announcement = Announcement {
             agent: self.identity.address,
             process: self.identity.process,
             sequence: self.control.sequence,
+            revision,
             service: self.identity.service.clone(),
             domain: self.identity.domain.clone(),
             life: self.host.as_ref().map(|host| host.life).unwrap_or_default(),
             standing: self.standing(now),
-            slots: self
-                .host
-                .as_ref()
-                .map_or(0, |host| u16::try_from(host.slots).unwrap_or(u16::MAX)),
-            open_flows: u16::try_from(self.flows.waiting()).unwrap_or(u16::MAX),
             catalogue: self.catalogue.version(),
             interval_ms: as_millis_u16(self.announce_interval()),
-            wants_hosts,
+            asks_hosts: None,
+        };
+        let is_same = last.is_some_and(|last| {
+            last == Announcement {
+                sequence: last.sequence,
+                ..announcement.clone()
+            }
+        });
+        if !is_same {
+            announcement.revision += 1;
+            self.control.changed = now;
         }
+        self.control.announced = Some(announcement.clone());
+        announcement
     }
 
     /// Logs when the backend server begins to fail requests, and when it has recovered.
--- a/crates/coordination/src/passthrough/agent/host.rs
+++ b/crates/coordination/src/passthrough/agent/host.rs
@@ -95,11 +95,15 @@
     /// its rate and 5 flows more.
     const CAPACITY: f64 = 4.0;
 
+    /// Tells whether a token is there.
+    pub fn has_token(&self, now: Time, flows_per_s: f64) -> bool {
+        self.filled_until(now, flows_per_s) >= 1.0
+    }
+
     /// Takes a token if one is there; the bucket starts empty.
     pub fn take(&mut self, now: Time, flows_per_s: f64) -> bool {
-        let elapsed_s = now.since(self.filled).to_duration().as_secs_f64();
+        self.tokens = self.filled_until(now, flows_per_s);
         self.filled = now;
-        self.tokens = (self.tokens + elapsed_s * flows_per_s).min(Self::CAPACITY);
         if self.tokens < 1.0 {
             return false;
         }
@@ -107,6 +111,11 @@
         true
     }
 
+    fn filled_until(&self, now: Time, flows_per_s: f64) -> f64 {
+        let elapsed_s = now.since(self.filled).to_duration().as_secs_f64();
+        (self.tokens + elapsed_s * flows_per_s).min(Self::CAPACITY)
+    }
+
     /// Empties the bucket for a new life of the backend server.
     pub const fn empty(now: Time) -> Self {
         Self {
--- a/crates/coordination/src/passthrough/agent/mod.rs
+++ b/crates/coordination/src/passthrough/agent/mod.rs
@@ -23,6 +23,7 @@
     },
     flows::{OwnFlow, OwnFlows, Phase},
     host::{ColdBucket, Host},
+    outcomes::outcome_of,
     std::{
         collections::VecDeque,
         net::{Ipv4Addr, SocketAddrV4},
@@ -44,12 +45,6 @@
     pub server: SocketAddrV4,
 }
 
-/// First status code by which a backend server says that it failed (RFC 9110, section 15.6).
-const STATUS_SERVER_ERRORS: u16 = 500;
-
-/// Status code by which a backend server sheds a request (RFC 9110, section 15.6.4).
-const STATUS_UNAVAILABLE: u16 = 503;
-
 /// Why an agent drops a packet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum DropReason {
@@ -332,9 +327,14 @@
             self.pass_on(header, &flow, actions);
             return;
         }
+        if !self.bears_one_more(now) {
+            let passed_on = self.pass_on_busy(header, &flow, None);
+            actions.push(passed_on.unwrap_or(Action::Drop(DropReason::NoHost)));
+            return;
+        }
         if let Some(excess) = self.reluctance(now)
             && header.kind != RelayKind::Assign
-            && let Some(action) = self.pass_on_busy(header, &flow, excess)
+            && let Some(action) = self.pass_on_busy(header, &flow, Some(excess))
         {
             actions.push(action);
             return;
@@ -498,17 +498,6 @@
     visited.chain([&header.balancer]).copied().collect()
 }
 
-/// Returns what an answer says about the backend server. Requests that an overloaded one sheds
-/// say nothing about its health.
-const fn outcome_of(answer: &Segment, is_overloaded: bool) -> Option<Outcome> {
-    match answer.answer_status {
-        Some(STATUS_UNAVAILABLE) if is_overloaded => None,
-        Some(status) if status >= STATUS_SERVER_ERRORS => Some(Outcome::Failed),
-        None if answer.flags.is_rst => Some(Outcome::Failed),
-        Some(_) | None => Some(Outcome::Answered),
-    }
-}
-
 fn end_if_finished(entry: &mut OwnFlow, segment: &Segment) {
     if segment.flags.is_rst || (entry.is_caller_finished && entry.is_server_finished) {
         entry.phase = Phase::Ended;
--- a/crates/coordination/src/passthrough/agent/options.rs
+++ b/crates/coordination/src/passthrough/agent/options.rs
@@ -37,9 +37,10 @@
     /// Wait of a caller after which the request counts as failed when the caller gives up: longer
     /// than the work of any request with a full queue before it.
     pub answer_patience: Span,
-    /// Interval of announcements.
+    /// Interval of announcements and beats.
     pub announce_interval: Span,
-    /// Announcements a second to all balancers together; with more balancers the interval grows.
+    /// Beats a second to all balancers together, 2.5 KB/s of the 3 KB/s that control may take; with
+    /// more balancers the interval grows.
     pub announcements_per_s: u64,
     /// Interval of announcements while no balancer is heard.
     pub search_interval: Span,
@@ -70,7 +71,7 @@
             outcomes: OutcomeOptions::default(),
             answer_patience: Span::from_secs(1),
             announce_interval: Span::from_millis(250),
-            announcements_per_s: 120,
+            announcements_per_s: 80,
             search_interval: Span::from_millis(100),
             stale_after: Span::from_millis(2_500),
             stop_timeout: Span::from_millis(4_500),
--- a/crates/coordination/src/passthrough/agent/outcomes.rs
+++ b/crates/coordination/src/passthrough/agent/outcomes.rs
@@ -5,7 +5,16 @@
 //! new flows would keep coming. Most of them go to other hosts instead; the rest show when the
 //! backend server has recovered.
 
-use cardamomloom_core::{Span, Time};
+use {
+    cardamomloom_core::{Span, Time},
+    cardamomloom_protocol::passthrough::Segment,
+};
+
+/// First status code by which a backend server says that it failed (RFC 9110, section 15.6).
+const STATUS_SERVER_ERRORS: u16 = 500;
+
+/// Status code by which a backend server sheds a request (RFC 9110, section 15.6.4).
+const STATUS_UNAVAILABLE: u16 = 503;
 
 /// How a request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -131,3 +140,14 @@
         (-age_s / half_life_s).exp2()
     }
 }
+
+/// Returns what an answer says about the backend server. Requests that an overloaded one sheds
+/// say nothing about its health.
+pub(super) const fn outcome_of(answer: &Segment, is_overloaded: bool) -> Option<Outcome> {
+    match answer.answer_status {
+        Some(STATUS_UNAVAILABLE) if is_overloaded => None,
+        Some(status) if status >= STATUS_SERVER_ERRORS => Some(Outcome::Failed),
+        None if answer.flags.is_rst => Some(Outcome::Failed),
+        Some(_) | None => Some(Outcome::Answered),
+    }
+}
--- a/crates/coordination/src/passthrough/balancer/control.rs
+++ b/crates/coordination/src/passthrough/balancer/control.rs
@@ -5,8 +5,8 @@
     crate::passthrough::{as_millis_u16, paced_interval},
     cardamomloom_core::{Span, Time},
     cardamomloom_protocol::passthrough::{
-        Announcement, BalancerView, CatalogueDocument, PeerMessage, Registration, Snapshot,
-        ZoneStanding,
+        Announcement, BalancerView, Beat, CatalogueDocument, HostBrief, ListDigest, PeerMessage,
+        Registration, Snapshot, ZoneStanding,
     },
     log::info,
     std::net::Ipv4Addr,
@@ -19,6 +19,13 @@
 /// each time, so that a receiver learns all of them.
 const MAX_BALANCERS: usize = 48;
 
+/// Signs of life for each one that names the known balancers. Most of them say only that the sender
+/// lives.
+const VIEWS_PER_LIST: usize = 32;
+
+/// Time after a change of the known balancers in which every sign of life names them.
+const NEWS_SPAN: Span = Span::from_secs(2);
+
 /// A control message to send.
 #[derive(Clone, Debug)]
 pub struct Outgoing {
@@ -68,6 +75,7 @@
     pub fn on_message(&mut self, now: Time, message: PeerMessage) -> Vec<Outgoing> {
         match message {
             PeerMessage::Announcement(announcement) => self.on_announcement(now, announcement),
+            PeerMessage::Beat(beat) => self.on_beat(now, &beat),
             PeerMessage::View(view) => self.on_view(now, &view),
             PeerMessage::Owner(owner) => {
                 self.on_owner(now, owner.flow, owner.agent);
@@ -214,12 +222,7 @@
     }
 
     fn on_announcement(&mut self, now: Time, announcement: Announcement) -> Vec<Outgoing> {
-        let is_lagging = announcement.catalogue < self.catalogue.version();
-        let wants_answer = announcement.wants_hosts || is_lagging;
-        let answer = wants_answer.then(|| Outgoing {
-            to: announcement.agent,
-            message: PeerMessage::View(self.view(now, false, Some(&announcement))),
-        });
+        let answer = self.answer(now, &announcement, announcement.asks_hosts);
         let (agent, life, standing) =
             (announcement.agent, announcement.life, announcement.standing);
         if self.hosts.on_announcement(now, announcement) {
@@ -228,6 +231,49 @@
         answer.into_iter().collect()
     }
 
+    fn on_beat(&mut self, now: Time, beat: &Beat) -> Vec<Outgoing> {
+        if !self.hosts.on_beat(now, beat) {
+            let mut view = self.short_view(now);
+            view.wants_answer = true;
+            return vec![Outgoing {
+                to: beat.agent,
+                message: PeerMessage::View(view),
+            }];
+        }
+        let record = self.hosts.get(beat.agent);
+        let answer =
+            record.and_then(|record| self.answer(now, &record.announcement, beat.asks_hosts));
+        answer.into_iter().collect()
+    }
+
+    /// Answers an agent that asks for hosts or lacks the catalogue. The lists are left out when the
+    /// agent has the same hosts, but for every few answers, which name the balancers.
+    fn answer(
+        &self,
+        now: Time,
+        agent: &Announcement,
+        asks_hosts: Option<ListDigest>,
+    ) -> Option<Outgoing> {
+        let is_lagging = agent.catalogue < self.catalogue.version();
+        if asks_hosts.is_none() && !is_lagging {
+            return None;
+        }
+        let mut view = self.short_view(now);
+        if let Some(digest) = asks_hosts {
+            let hosts = self.host_briefs(now, agent);
+            if ListDigest::of(&hosts) != digest {
+                view.hosts = hosts;
+            }
+            if !view.hosts.is_empty() || self.names_balancers(now) {
+                view.balancers = self.known_balancers();
+            }
+        }
+        Some(Outgoing {
+            to: agent.agent,
+            message: PeerMessage::View(view),
+        })
+    }
+
     fn on_view(&mut self, now: Time, view: &BalancerView) -> Vec<Outgoing> {
         let added = self.peers.on_view(now, view);
         let mut outgoing = match &view.standing {
@@ -243,7 +289,10 @@
                 .confirm(now - Span::from_millis(u64::from(ago_ms)));
         }
         if !added.is_empty() {
-            let message = PeerMessage::View(self.view(now, true, None));
+            let mut view = self.short_view(now);
+            view.balancers = self.known_balancers();
+            view.wants_answer = true;
+            let message = PeerMessage::View(view);
             outgoing.extend(added.into_iter().map(|to| Outgoing {
                 to,
                 message: message.clone(),
@@ -252,9 +301,11 @@
             outgoing.extend(self.views_for_agents(now));
         }
         if view.wants_answer {
+            let mut answer = self.short_view(now);
+            answer.balancers = self.known_balancers();
             outgoing.push(Outgoing {
                 to: view.balancer,
-                message: PeerMessage::View(self.view(now, false, None)),
+                message: PeerMessage::View(answer),
             });
         }
         outgoing
@@ -278,7 +329,11 @@
         } else {
             readers
         };
-        let message = PeerMessage::View(self.view(now, false, None));
+        let mut view = self.short_view(now);
+        if self.names_balancers(now) {
+            view.balancers = self.known_balancers();
+        }
+        let message = PeerMessage::View(view);
         receivers
             .into_iter()
             .map(|to| Outgoing {
@@ -289,9 +344,10 @@
     }
 
     fn views_for_agents(&self, now: Time) -> impl Iterator<Item = Outgoing> {
+        let message = PeerMessage::View(self.short_view(now));
         self.hosts.iter().map(move |record| Outgoing {
             to: record.announcement.agent,
-            message: PeerMessage::View(self.view(now, false, Some(&record.announcement))),
+            message: message.clone(),
         })
     }
 
@@ -306,33 +362,47 @@
             .is_some_and(|read| now.since(read) <= READER_SILENCE)
     }
 
-    fn view(&self, now: Time, wants_answer: bool, agent: Option<&Announcement>) -> BalancerView {
-        let hosts = agent.map_or_else(Vec::new, |agent| {
-            let is_out = |domain: &_| self.catalogue.is_out(domain);
-            self.hosts.briefs(now, &agent.service, is_out, MAX_BRIEFS)
-        });
-        let heard: Vec<Ipv4Addr> = self.peers.heard().collect();
+    /// Returns a view without lists.
+    fn short_view(&self, now: Time) -> BalancerView {
         BalancerView {
             balancer: self.own,
             is_stopping: self.control.is_stopping,
             is_informed: self.catalogue.is_informed(),
             is_reader: self.is_reader(now),
             interval_ms: as_millis_u16(self.view_interval()),
-            wants_answer,
+            wants_answer: false,
             catalogue: self.catalogue.version(),
             standing: self.catalogue.standing().cloned(),
             confirmed_ago_ms: self.confirmed_ago_ms(now),
-            balancers: heard
-                .iter()
-                .cycle()
-                .skip(self.control.turn % heard.len().max(1))
-                .take(heard.len().min(MAX_BALANCERS))
-                .copied()
-                .collect(),
-            hosts,
+            balancers: Vec::new(),
+            hosts: Vec::new(),
         }
     }
 
+    /// Tells whether signs of life name the known balancers at present.
+    fn names_balancers(&self, now: Time) -> bool {
+        self.control.turn.is_multiple_of(VIEWS_PER_LIST)
+            || now.since(self.peers.changed()) <= NEWS_SPAN
+    }
+
+    fn known_balancers(&self) -> Vec<Ipv4Addr> {
+        let heard: Vec<Ipv4Addr> = self.peers.heard().collect();
+        let first = self.control.turn % heard.len().max(1);
+        let count = heard.len().min(MAX_BALANCERS);
+        heard
+            .iter()
+            .cycle()
+            .skip(first)
+            .take(count)
+            .copied()
+            .collect()
+    }
+
+    fn host_briefs(&self, now: Time, agent: &Announcement) -> Vec<HostBrief> {
+        let is_out = |domain: &_| self.catalogue.is_out(domain);
+        self.hosts.briefs(now, agent, is_out, MAX_BRIEFS)
+    }
+
     fn confirmed_ago_ms(&self, now: Time) -> Option<u32> {
         self.catalogue
             .confirmed_ago(now)
--- a/crates/coordination/src/passthrough/balancer/mod.rs
+++ b/crates/coordination/src/passthrough/balancer/mod.rs
@@ -34,7 +34,8 @@
     pub fresh_for: Span,
     /// Interval of the signs of life between balancers.
     pub view_interval: Span,
-    /// Signs of life a second to all balancers together; with more balancers the interval grows.
+    /// Signs of life a second to all balancers together, 2 KB/s of the 3 KB/s that control may
+    /// take; with more balancers the interval grows.
     pub views_per_s: u64,
     /// Interval of the signs of life while no other balancer is heard, so that processes that
     /// start together find each other at once.
@@ -58,7 +59,7 @@
             remember_for: Span::from_secs(15),
             fresh_for: Span::from_secs(4),
             view_interval: Span::from_millis(500),
-            views_per_s: 100,
+            views_per_s: 60,
             search_interval: Span::from_millis(100),
             readers: 2,
             registration_timeout: Span::from_secs(60),
@@ -235,7 +236,6 @@
                 (Some(agent) == tried, !rank(hash, agent))
             })
             .map(to_placement)?;
-        self.hosts.on_sent(chosen.agent);
         self.placements.insert(now, *flow, chosen);
         Some(chosen)
     }
--- a/crates/coordination/src/passthrough/hosts.rs
+++ b/crates/coordination/src/passthrough/hosts.rs
@@ -3,8 +3,11 @@
 use {
     super::rank,
     cardamomloom_core::{DomainName, ServiceName, Span, Time},
-    cardamomloom_protocol::passthrough::{Announcement, HostBrief, HostStanding, Life},
-    std::{collections::BTreeMap, net::Ipv4Addr},
+    cardamomloom_protocol::passthrough::{Announcement, Beat, HostBrief, HostStanding, Life},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        net::Ipv4Addr,
+    },
 };
 
 /// Times after which hosts are left out.
@@ -41,17 +44,9 @@
     pub heard: Option<Time>,
     /// Time at which the record was made.
     pub known_since: Time,
-    /// New flows sent there since the last announcement.
-    pub sent: u16,
 }
 
 impl HostRecord {
-    /// Returns the open flows, with those that the host has not announced yet.
-    #[must_use]
-    pub const fn load(&self) -> u16 {
-        self.announcement.open_flows.saturating_add(self.sent)
-    }
-
     fn last_sign(&self) -> Time {
         self.heard.unwrap_or(self.known_since)
     }
@@ -63,7 +58,7 @@
     options: HostDirectoryOptions,
     /// Ordered, so that the same inputs give the same messages in the same order.
     records: BTreeMap<Ipv4Addr, HostRecord>,
-    by_service: BTreeMap<ServiceName, Vec<Ipv4Addr>>,
+    by_service: BTreeMap<ServiceName, BTreeSet<Ipv4Addr>>,
     last_step: Time,
     /// Silence before this time is not counted, because the process itself paused.
     silence_from: Time,
@@ -95,7 +90,6 @@
         let record = HostRecord {
             heard: Some(now),
             known_since: now,
-            sent: 0,
             announcement,
         };
         let agent = record.announcement.agent;
@@ -118,6 +112,24 @@
         is_change
     }
 
+    /// Takes over a sign of life; tells whether the state that it names is known.
+    pub fn on_beat(&mut self, now: Time, beat: &Beat) -> bool {
+        let Some(record) = self.records.get_mut(&beat.agent) else {
+            return false;
+        };
+        let known = &mut record.announcement;
+        if known.process != beat.process || known.revision < beat.revision {
+            return false;
+        }
+        // An older revision belongs to a beat that was overtaken.
+        let is_newer = known.sequence < beat.sequence || record.heard.is_none();
+        if known.revision == beat.revision && is_newer {
+            known.sequence = beat.sequence;
+            record.heard = Some(now);
+        }
+        true
+    }
+
     /// Takes over a host that a peer knows, if it is not known yet.
     pub fn on_peer_record(&mut self, now: Time, announcement: Announcement) {
         if self.records.contains_key(&announcement.agent) {
@@ -126,7 +138,6 @@
         self.insert(HostRecord {
             heard: None,
             known_since: now,
-            sent: 0,
             announcement,
         });
     }
@@ -174,13 +185,6 @@
         record.announcement.standing == HostStanding::Ready && self.is_heard(now, record)
     }
 
-    /// Notes that a new flow was sent to a host.
-    pub fn on_sent(&mut self, agent: Ipv4Addr) {
-        if let Some(record) = self.records.get_mut(&agent) {
-            record.sent = record.sent.saturating_add(1);
-        }
-    }
-
     /// Returns the host that comes first for a flow among those that have not left; packets of
     /// flows that are not known are sent there. An agent that is silent comes last, because it
     /// cannot search for the owner.
@@ -199,25 +203,29 @@
             })
     }
 
-    /// Returns what agents of a service need to know of its hosts, at most `limit` of them.
+    /// Returns what an agent needs to know of the hosts of its service: at most `limit` of them,
+    /// from its own address on, so that the agents of a large service know different ones.
     #[must_use]
     pub fn briefs(
         &self,
         now: Time,
-        service: &ServiceName,
+        agent: &Announcement,
         is_out: impl Fn(&DomainName) -> bool,
         limit: usize,
     ) -> Vec<HostBrief> {
-        let present = self
-            .of_service(service)
-            .filter(|record| record.announcement.standing != HostStanding::Gone);
-        present
+        let Some(agents) = self.by_service.get(&agent.service) else {
+            return Vec::new();
+        };
+        let (before, after) = (agents.range(..agent.agent), agents.range(agent.agent..));
+        after
+            .chain(before)
+            .filter_map(|agent| self.records.get(agent))
+            .filter(|record| record.announcement.standing != HostStanding::Gone)
             .take(limit)
             .map(|record| HostBrief {
                 agent: record.announcement.agent,
                 life: record.announcement.life,
                 accepts_new: self.accepts_new(now, record) && !is_out(&record.announcement.domain),
-                is_busy: record.load() >= record.announcement.slots,
             })
             .collect()
     }
@@ -258,7 +266,7 @@
         self.by_service
             .entry(record.announcement.service.clone())
             .or_default()
-            .push(agent);
+            .insert(agent);
         self.records.insert(agent, record);
     }
 
@@ -267,7 +275,7 @@
             return;
         };
         if let Some(agents) = self.by_service.get_mut(&record.announcement.service) {
-            agents.retain(|known| *known != agent);
+            agents.remove(&agent);
         }
     }
 }
--- a/crates/coordination/src/passthrough/peers.rs
+++ b/crates/coordination/src/passthrough/peers.rs
@@ -44,6 +44,8 @@
     options: PeerDirectoryOptions,
     own: Ipv4Addr,
     peers: BTreeMap<Ipv4Addr, Peer>,
+    /// Time at which a balancer was last heard for the first time or forgotten.
+    changed: Time,
 }
 
 impl PeerDirectory {
@@ -54,6 +56,7 @@
             options,
             own,
             peers: BTreeMap::new(),
+            changed: Time::ZERO,
         }
     }
 
@@ -88,6 +91,9 @@
             .collect();
         added.dedup();
         if let Some(peer) = self.peers.get_mut(&view.balancer) {
+            if peer.heard.is_none() {
+                self.changed = now;
+            }
             peer.heard = Some(now);
             peer.is_reader = view.is_reader;
             peer.is_stopping = view.is_stopping;
@@ -100,8 +106,18 @@
     /// Forgets balancers that have been silent for long.
     pub fn expire(&mut self, now: Time) {
         let forget_after = self.options.forget_after;
+        let before = self.peers.len();
         self.peers
             .retain(|_, peer| now.since(peer.heard.unwrap_or(peer.known_since)) <= forget_after);
+        if self.peers.len() != before {
+            self.changed = now;
+        }
+    }
+
+    /// Returns the time at which the balancers that were heard last changed.
+    #[must_use]
+    pub const fn changed(&self) -> Time {
+        self.changed
     }
 
     /// Returns all balancers but the process itself.
--- a/crates/protocol/src/passthrough/message.rs
+++ b/crates/protocol/src/passthrough/message.rs
@@ -11,7 +11,13 @@
     },
     serde::{Deserialize, Serialize},
     siphasher::sip::SipHasher24,
-    std::{fmt, hash::Hasher, net::Ipv4Addr, num::ParseIntError, str::FromStr},
+    std::{
+        fmt,
+        hash::{Hash, Hasher},
+        net::Ipv4Addr,
+        num::ParseIntError,
+        str::FromStr,
+    },
 };
 
 /// Result of encoding or decoding a control message.
@@ -56,15 +62,49 @@
     Gone,
 }
 
-/// Sign of life of an agent.
+/// Tells whether two processes have the same list of hosts.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct ListDigest(pub u32);
+
+impl ListDigest {
+    /// Returns the digest of a list.
+    #[must_use]
+    pub fn of(hosts: &[HostBrief]) -> Self {
+        let mut hasher = SipHasher24::new();
+        hosts.hash(&mut hasher);
+        let [.., a, b, c, d] = hasher.finish().to_be_bytes();
+        Self(u32::from_be_bytes([a, b, c, d]))
+    }
+}
+
+impl fmt::Display for ListDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:08x}", self.0)
+    }
+}
+
+impl FromStr for ListDigest {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> std::result::Result<Self, Self::Err> {
+        u32::from_str_radix(text, 16).map(Self)
+    }
+}
+
+/// State of a host, which its agent sends when it changes and to balancers that lack it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Announcement {
     /// Address of the agent.
     pub agent: Ipv4Addr,
     /// Life of the agent's process.
     pub process: Life,
-    /// Number of the announcement within this life.
+    /// Number of the announcement or beat within this life.
     pub sequence: u64,
+    /// Number of the state within this life; beats name it.
+    pub revision: u32,
     /// Service of the host.
     pub service: ServiceName,
     /// Failure domain of the host.
@@ -73,16 +113,28 @@
     pub life: Life,
     /// State of the host.
     pub standing: HostStanding,
-    /// Requests that the backend server works on at the same time.
-    pub slots: u16,
-    /// Flows that are open.
-    pub open_flows: u16,
     /// Catalogue that the agent knows.
     pub catalogue: CatalogueVersion,
-    /// Time until the next announcement.
+    /// Time until the next announcement or beat.
     pub interval_ms: u16,
-    /// Whether the answer should list the hosts of the service.
-    pub wants_hosts: bool,
+    /// Asks for the hosts of the service, unless the list has this digest.
+    pub asks_hosts: Option<ListDigest>,
+}
+
+/// Sign of life of an agent whose state is as announced. A beat is a quarter of the size of an
+/// announcement.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Beat {
+    /// Address of the agent.
+    pub agent: Ipv4Addr,
+    /// Life of the agent's process.
+    pub process: Life,
+    /// Number of the announcement or beat within this life.
+    pub sequence: u64,
+    /// Number of the state within this life.
+    pub revision: u32,
+    /// Asks for the hosts of the service, unless the list has this digest.
+    pub asks_hosts: Option<ListDigest>,
 }
 
 /// Sign of life of a balancer.
@@ -106,14 +158,14 @@
     pub standing: Option<ZoneStanding>,
     /// Time since the store confirmed the above, or `None` when it never did.
     pub confirmed_ago_ms: Option<u32>,
-    /// Balancers that the sender knows.
+    /// Balancers that the sender knows, or none in a short view.
     pub balancers: Vec<Ipv4Addr>,
-    /// Hosts of the receiver's service.
+    /// Hosts of the receiver's service, or none when the receiver has them.
     pub hosts: Vec<HostBrief>,
 }
 
 /// A host as agents of the same service need it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct HostBrief {
     /// Address of the agent.
     pub agent: Ipv4Addr,
@@ -121,8 +173,6 @@
     pub life: Life,
     /// Whether the host takes new flows.
     pub accepts_new: bool,
-    /// Whether the host has no free slot.
-    pub is_busy: bool,
 }
 
 /// Says which agent owns a flow.
@@ -143,6 +193,8 @@
     View(BalancerView),
     /// From the owner of a flow to processes that had its packets.
     Owner(FlowOwner),
+    /// From an agent to a balancer.
+    Beat(Beat),
 }
 
 /// What a process that starts or lags copies from a balancer.
--- a/crates/standins/src/passthrough/world/events.rs
+++ b/crates/standins/src/passthrough/world/events.rs
@@ -11,14 +11,20 @@
         flow_hash,
     },
     cardamomloom_core::{Span, Time},
-    cardamomloom_protocol::passthrough::{
-        FlowId, FlowOwner, HostReport, HostReportState, PacketFormat, PeerMessage, RelayHeader,
-        Segment,
+    cardamomloom_protocol::{
+        forward::DatagramKey,
+        passthrough::{
+            FlowId, FlowOwner, HostReport, HostReportState, PacketFormat, PeerMessage, RelayHeader,
+            Segment, seal,
+        },
     },
     rand::RngExt,
     std::net::{Ipv4Addr, SocketAddrV4},
 };
 
+/// Key of the control messages, whose sealed form is only measured.
+const KEY: DatagramKey = DatagramKey([7; 16]);
+
 impl World {
     pub(super) fn handle(&mut self, event: Event) {
         match event {
@@ -118,10 +124,10 @@
             .filter(|process| process.is_up && !process.is_deaf && !(process.is_apart && is_view))
         {
             let answers = process.core.on_message(self.now, message);
-            self.send_control(answers);
+            self.send_control(to, answers);
         } else if let Some(process) = self.agents.get_mut(&to).filter(|process| process.is_up) {
             let answers = process.core.on_message(self.now, message);
-            self.send_control(answers);
+            self.send_control(to, answers);
         }
     }
 
@@ -223,7 +229,7 @@
             }
             source = process.core.snapshot_source(now);
         }
-        self.send_control(outgoing);
+        self.send_control(address, outgoing);
         self.copy(address, source);
     }
 
@@ -236,7 +242,7 @@
         let Some(snapshot) = snapshot else { return };
         if let Some(process) = self.balancers.get_mut(&address) {
             let outgoing = process.core.on_snapshot(self.now, snapshot);
-            self.send_control(outgoing);
+            self.send_control(address, outgoing);
         } else if let Some(process) = self.agents.get_mut(&address) {
             process.core.on_snapshot(self.now, snapshot);
         }
@@ -273,7 +279,7 @@
             self.oracle.on_drain_acknowledged(self.now, agent);
         }
         self.perform(agent, actions, &[]);
-        self.send_control(outgoing);
+        self.send_control(agent, outgoing);
     }
 
     fn look_after_openings(&mut self, agent: Ipv4Addr) {
@@ -390,8 +396,10 @@
         }
     }
 
-    fn send_control(&mut self, outgoing: Vec<Outgoing>) {
+    fn send_control(&mut self, from: Ipv4Addr, outgoing: Vec<Outgoing>) {
         for Outgoing { to, message } in outgoing {
+            let datagram = seal(KEY, &message).expect("message fits a datagram");
+            *self.control_bytes.entry(from).or_default() += datagram.len();
             self.send(Event::Control(to, message));
         }
     }
--- a/crates/standins/src/passthrough/world/faults.rs
+++ b/crates/standins/src/passthrough/world/faults.rs
@@ -68,7 +68,8 @@
         };
         let identity = AgentIdentity {
             address: agent,
-            process: Life(generation),
+            // As large as the random number of a real process.
+            process: Life(generation | 1 << 63),
             service: service_name(server.service),
             domain: server.domain.clone(),
             server: server_address(agent),
--- a/crates/standins/src/passthrough/world/mod.rs
+++ b/crates/standins/src/passthrough/world/mod.rs
@@ -154,6 +154,8 @@
     /// Latest time at which a process was killed or started.
     disturbed: Time,
     oracle: Oracle,
+    /// Bytes of control messages by their sender.
+    control_bytes: BTreeMap<Ipv4Addr, usize>,
 }
 
 const TICK: Span = Span::from_millis(50);
@@ -190,6 +192,7 @@
             next_generation: 0,
             disturbed: Time::ZERO,
             oracle: Oracle::default(),
+            control_bytes: BTreeMap::new(),
             options,
         };
         for route in world.document.routes.clone() {
@@ -244,6 +247,11 @@
         agents.collect()
     }
 
+    /// Returns the bytes of control messages that each process sent since the last call.
+    pub fn take_control_bytes(&mut self) -> BTreeMap<Ipv4Addr, usize> {
+        std::mem::take(&mut self.control_bytes)
+    }
+
     /// Returns the addresses of the balancers.
     #[must_use]
     pub fn balancers(&self) -> Vec<Ipv4Addr> {
