--- a/crates/coordination/src/passthrough/agent/control.rs
+++ b/crates/coordination/src/passthrough/agent/control.rs
@@ -62,7 +62,7 @@
             return true;
         };
         let last_report = host.reported;
-        let outcome = host.on_report(now, report);
+        let outcome = host.on_report(now, report, self.options.report_timeout);
         match outcome {
             ReportOutcome::Known => return true,
             ReportOutcome::Outdated => {
--- a/crates/coordination/src/passthrough/agent/host.rs
+++ b/crates/coordination/src/passthrough/agent/host.rs
@@ -4,6 +4,7 @@
     cardamomloom_core::{Span, Time},
     cardamomloom_protocol::passthrough::{HostReport, HostReportState, Life},
     std::{
+        collections::VecDeque,
         hash::{DefaultHasher, Hash, Hasher},
         sync::Arc,
     },
@@ -32,8 +33,14 @@
     instance: Arc<str>,
     started_unix_ms: Option<u64>,
     sequence: u64,
+    /// Lives before this one, latest first.
+    earlier: VecDeque<Life>,
 }
 
+/// Earlier lives that are told from new ones: a report that a partition held back belongs to one of
+/// the latest.
+const EARLIER_LIVES: usize = 8;
+
 impl Host {
     pub fn new(now: Time, report: &HostReport) -> Self {
         Self {
@@ -45,6 +52,7 @@
             instance: report.instance.clone(),
             started_unix_ms: report.started_unix_ms,
             sequence: report.sequence,
+            earlier: VecDeque::new(),
         }
     }
 
@@ -52,13 +60,27 @@
         &*self.instance == instance
     }
 
-    /// Takes over a report.
-    pub fn on_report(&mut self, now: Time, report: &HostReport) -> ReportOutcome {
-        if life_of(report) != self.life {
-            if report.started_unix_ms < self.started_unix_ms {
+    /// Takes over a report. A life that started before the present one by its own clock is a new
+    /// one only when the present one has been silent for `report_timeout`, because clocks step back
+    /// and reports may be late.
+    pub fn on_report(
+        &mut self,
+        now: Time,
+        report: &HostReport,
+        report_timeout: Span,
+    ) -> ReportOutcome {
+        let life = life_of(report);
+        if life != self.life {
+            let is_silent = now.since(self.reported) > report_timeout;
+            let started_before = report.started_unix_ms < self.started_unix_ms;
+            if self.earlier.contains(&life) || (started_before && !is_silent) {
                 return ReportOutcome::Outdated;
             }
+            let mut earlier = std::mem::take(&mut self.earlier);
+            earlier.push_front(self.life);
+            earlier.truncate(EARLIER_LIVES);
             *self = Self::new(now, report);
+            self.earlier = earlier;
             return ReportOutcome::NewLife;
         }
         if report.sequence < self.sequence {
