Refuse new flows of a service that has had no host for 1.5 s

Cause: an opening for a service without any usable host was dropped, so that its caller waited 1.4 s for each attempt.

Change: the balancer refuses the first packet of a flow once every opening for 1.5 s found no host. It does not when it has just started or hears no agent at all, because it then knows nothing of the service, and it drops copies, whose flow may be open elsewhere.

--- a/crates/coordination/src/passthrough/balancer/mod.rs
+++ b/crates/coordination/src/passthrough/balancer/mod.rs
@@ -2,8 +2,9 @@
 
 mod control;
 mod early;
+mod outages;
 
-pub use {control::Outgoing, early::EarlyPackets};
+pub use {control::Outgoing, early::EarlyPackets, outages::ServiceOutages};
 
 use {
     super::{
@@ -44,6 +45,9 @@
     pub readers: usize,
     /// Silence after which the registration of a balancer is removed.
     pub registration_timeout: Span,
+    /// Time without any usable host of a service after which new flows to it are refused: longer
+    /// than the gap until a silent host is left out and its successor is known.
+    pub refuse_after: Span,
     /// Time after the start in which opening packets that cannot be placed are held.
     pub hold_early_for: Span,
     /// Time without any usable host after which a starting balancer reports ready all the same.
@@ -63,13 +67,14 @@
             search_interval: Span::from_millis(100),
             readers: 2,
             registration_timeout: Span::from_secs(60),
+            refuse_after: Span::from_millis(1_500),
             hold_early_for: Span::from_secs(3),
             ready_without_hosts_after: Span::from_secs(2),
         }
     }
 }
 
-/// Why a balancer drops a packet.
+/// Why a balancer does not forward a packet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum DropReason {
     /// No catalogue is known yet.
@@ -103,7 +108,7 @@
         header: RelayHeader,
     },
     /// The caller is told that its flow was not opened.
-    Refuse,
+    Refuse(DropReason),
     /// The packet is dropped.
     Drop(DropReason),
 }
@@ -124,6 +129,7 @@
     hosts: HostDirectory,
     peers: PeerDirectory,
     placements: FlowMemory<Placement>,
+    outages: ServiceOutages,
     control: control::ControlState,
 }
 
@@ -142,6 +148,7 @@
             hosts: HostDirectory::new(options.hosts),
             peers,
             placements: FlowMemory::new(options.remembered_flows, options.remember_for),
+            outages: ServiceOutages::new(options.refuse_after),
             control: control::ControlState::default(),
             options,
         }
@@ -161,7 +168,7 @@
             self.find(now, &flow, &service)
         };
         let Some(placement) = chosen else {
-            return Verdict::Drop(DropReason::NoHost);
+            return self.on_no_host(now, segment, &service);
         };
         Verdict::Forward {
             to: placement.agent,
@@ -205,12 +212,25 @@
             .confirmed_ago(now)
             .is_some_and(|ago| ago <= self.options.fresh_for);
         if segment.is_opening() && segment.acknowledgment > 0 && is_fresh {
-            Verdict::Refuse
+            Verdict::Refuse(DropReason::NoRoute)
         } else {
             Verdict::Drop(DropReason::NoRoute)
         }
     }
 
+    /// Refuses the first packet of a flow when its service has had no host for a while. A copy is
+    /// dropped, because the flow may have opened through another balancer.
+    fn on_no_host(&mut self, now: Time, segment: &Segment, service: &ServiceName) -> Verdict {
+        let is_first = segment.is_opening() && segment.acknowledgment == 0;
+        // A balancer that hears no agent at all knows nothing of the service.
+        let knows_hosts = self.hosts.hears_any(now) && !self.may_hold(now, segment);
+        if is_first && knows_hosts && self.outages.is_certain(now, service) {
+            Verdict::Refuse(DropReason::NoHost)
+        } else {
+            Verdict::Drop(DropReason::NoHost)
+        }
+    }
+
     /// Chooses a host for a new flow: the first by rank that has a free slot, otherwise the one
     /// with the least load. A copy of an opening packet goes to another host than the one before.
     fn place(
@@ -236,6 +256,7 @@
                 (Some(agent) == tried, !rank(hash, agent))
             })
             .map(to_placement)?;
+        self.outages.end(service);
         self.placements.insert(now, *flow, chosen);
         Some(chosen)
     }
--- a/crates/coordination/src/passthrough/hosts.rs
+++ b/crates/coordination/src/passthrough/hosts.rs
@@ -230,6 +230,12 @@
             .collect()
     }
 
+    /// Tells whether any agent was heard lately.
+    #[must_use]
+    pub fn hears_any(&self, now: Time) -> bool {
+        self.iter().any(|record| self.is_heard(now, record))
+    }
+
     /// Returns the number of hosts.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/daemon/src/passthrough/balancer.rs
+++ b/crates/daemon/src/passthrough/balancer.rs
@@ -182,7 +182,7 @@
                 let to = SocketAddrV4::new(to, self.data_port);
                 self.outbox.push(to, &header, packet);
             }
-            Verdict::Refuse => self.refuse(now, &segment),
+            Verdict::Refuse(reason) => self.refuse(now, &segment, reason),
             Verdict::Drop(DropReason::Uninformed | DropReason::NoHost)
                 if self.balancer.may_hold(now, &segment) && self.early.hold(now, packet) => {}
             Verdict::Drop(reason) => self.drop_packet(now, &segment, reason),
@@ -223,13 +223,14 @@
         );
     }
 
-    fn refuse(&mut self, now: Time, segment: &Segment) {
+    fn refuse(&mut self, now: Time, segment: &Segment, reason: DropReason) {
         let flow = segment.flow_from_caller();
         metrics::counter!("cardamomloom_refused_flows_total").increment(1);
         if self.notable.take(now) {
             info!(
-                event = "flow_refused", flow:%, confirmed_ago_ms = self.confirmed_ago_ms(now);
-                "catalogue has no such address"
+                event = "flow_refused", flow:%, cause = reason.label(),
+                confirmed_ago_ms = self.confirmed_ago_ms(now);
+                "caller is told that its flow was not opened"
             );
         }
         let to = SocketAddrV4::new(*flow.caller.ip(), self.data_port);
--- a/crates/standins/src/passthrough/oracle.rs
+++ b/crates/standins/src/passthrough/oracle.rs
@@ -24,6 +24,9 @@
 /// and the longest opening.
 const REFUSAL_BOUND: Span = Span::from_millis(4_400);
 
+/// Time without any new flow at a service after which its callers may be refused.
+const OUTAGE: Span = Span::from_millis(1_500);
+
 /// Time after the return of the store in which changes of operators need not be in force.
 const STORE_SETTLES: Span = Span::from_secs(4);
 
@@ -108,6 +111,8 @@
     domains_out: HashMap<DomainName, Time>,
     cold: HashMap<Ipv4Addr, VecDeque<Time>>,
     openings: BTreeMap<Ipv4Addr, usize>,
+    /// Time at which a host of each service last took a new flow.
+    last_opening: HashMap<ServiceName, Time>,
     requests: HashSet<u64>,
     shed: HashSet<FlowId>,
     opened: HashMap<FlowId, Time>,
@@ -180,6 +185,7 @@
         domain: &DomainName,
     ) {
         *self.openings.entry(agent).or_default() += 1;
+        self.last_opening.insert(service.clone(), now);
         let began = *self.opened.entry(flow).or_insert(now);
         if self
             .drained
@@ -282,7 +288,11 @@
             }
         }
         let missing = self.routes.get(&flow.service).is_some_and(|history| {
-            history.is_present && now.since(history.changed) > REFUSAL_BOUND
+            let is_served = history.services.iter().any(|service| {
+                let last = self.last_opening.get(service);
+                last.is_some_and(|last| now.since(*last) <= OUTAGE)
+            });
+            history.is_present && is_served && now.since(history.changed) > REFUSAL_BOUND
         });
         if missing && self.is_settled(now) && outcome == CallerOutcome::Refused {
             self.violate(
--- a/crates/standins/src/passthrough/world/events.rs
+++ b/crates/standins/src/passthrough/world/events.rs
@@ -93,7 +93,7 @@
         };
         match process.core.on_packet(self.now, &segment) {
             Verdict::Forward { to, header } => self.send(Event::ToAgent(to, header, packet)),
-            Verdict::Refuse => {
+            Verdict::Refuse(_) => {
                 let reset = Segment::reset(&segment.flow_from_caller(), 0);
                 self.send(Event::ToCaller(PlainPackets.encode(&reset, &[])));
             }
