Show the state of balancers with pass-through delivery in cardamomloom status

Cause: the status document of these balancers held two numbers, and the command compared versions only with an object API that their store lacks.

Change: the document names versions of the catalogue and of the failure domains, hosts, balancers, and whether the catalogue is confirmed, with the field names of the other delivery. The command compares named balancers with each other when they use pass-through delivery.

--- a/crates/cli/src/commands/status.rs
+++ b/crates/cli/src/commands/status.rs
@@ -22,9 +22,12 @@
 
 /// Compares the versions in force at every balancer with those of the store.
 pub async fn status(context: &Context) -> Result<Output> {
-    let stored = stored(context).await;
     let nodes = processes::balancers(context).await?;
     let answers = processes::ask(context, nodes, "/status", &[]).await;
+    let stored = match newest_of_pass_through(&answers) {
+        Some(newest) => Ok(newest),
+        None => stored(context).await,
+    };
     let empty = BTreeMap::new();
     let wanted = stored.as_ref().unwrap_or(&empty);
     let nodes: Vec<Node> = answers
@@ -60,6 +63,24 @@
     Ok(versions)
 }
 
+/// Returns the newest versions that any process has, when one uses pass-through delivery: their
+/// store does not have the objects of this command.
+fn newest_of_pass_through(answers: &[Answered]) -> Option<BTreeMap<String, ObjectVersion>> {
+    let statuses = answers
+        .iter()
+        .filter_map(|answered| answered.answer.as_ref().ok())
+        .filter(|status| status["delivery"] == "pass_through");
+    let mut newest = None;
+    for status in statuses {
+        let newest = newest.get_or_insert_with(BTreeMap::new);
+        for (key, version) in processes::versions(status) {
+            let present = newest.entry(key).or_insert(version);
+            *present = version.max(*present);
+        }
+    }
+    newest
+}
+
 fn view<'a>(answered: &'a Answered, wanted: &BTreeMap<String, ObjectVersion>) -> Node<'a> {
     let Ok(status) = &answered.answer else {
         return Node {
--- a/crates/cli/tests/command/views.rs
+++ b/crates/cli/tests/command/views.rs
@@ -54,6 +54,38 @@
     Ok(())
 }
 
+/// Guards against a status that is of no use with pass-through delivery, whose store has other
+/// objects than those of the command.
+#[test]
+fn verify_status_compares_balancers_with_pass_through_delivery() -> Result<()> {
+    let world = World::start()?;
+    let status = |catalogue: u64, standing: &str| {
+        json!({
+            "role": "balancer", "delivery": "pass_through", "stopping": false,
+            "standing": standing, "domains_out": ["tas-hobart"],
+            "objects": [{"key": "catalogue", "version": catalogue}],
+            "hosts": [{"agent": "10.1.0.1", "state": "Ready"}],
+        })
+    };
+    let nodes = [Arc::new(Endpoint::default()), Arc::new(Endpoint::default())];
+    nodes[0].set_status(status(14, "serving"));
+    nodes[1].set_status(status(11, "isolated"));
+    let addresses: Vec<String> = nodes
+        .iter()
+        .map(|node| Ok(world.serve(node.clone())?.to_string()))
+        .collect::<Result<_>>()?;
+    let shown = world.expect(0, &["--nodes", &addresses.join(","), "status"])?;
+    for expected in [
+        "lags: catalogue has version 11, the store has 14 [version_lag]",
+        "serves its last configuration, which nobody confirms [isolated]",
+        "failure domain tas-hobart is out [domain_out]",
+    ] {
+        assert!(shown.contains(expected), "{expected:?} in {shown}");
+    }
+    assert!(!shown.contains("store_unavailable"), "{shown}");
+    Ok(())
+}
+
 /// Guards against a status that hides who lags and what is degraded.
 #[test]
 fn verify_status_names_lag_and_degradation() -> Result<()> {
--- a/crates/coordination/src/passthrough/balancer/control.rs
+++ b/crates/coordination/src/passthrough/balancer/control.rs
@@ -3,10 +3,10 @@
 use {
     super::Balancer,
     crate::passthrough::{as_millis_u16, paced_interval},
-    cardamomloom_core::{Span, Time},
+    cardamomloom_core::{DomainName, Span, Time},
     cardamomloom_protocol::passthrough::{
-        Announcement, BalancerView, Beat, CatalogueDocument, HostBrief, ListDigest, PeerMessage,
-        Registration, Snapshot, ZoneStanding,
+        Announcement, BalancerView, Beat, CatalogueDocument, CatalogueVersion, HostBrief,
+        ListDigest, PeerMessage, Registration, Snapshot, StoreRevision, ZoneStanding,
     },
     log::info,
     std::net::Ipv4Addr,
@@ -35,6 +35,34 @@
     pub message: PeerMessage,
 }
 
+/// What a balancer shows to operators.
+#[derive(Clone, Debug)]
+pub struct BalancerSummary {
+    /// Version of the catalogue in force.
+    pub catalogue: CatalogueVersion,
+    /// Revision at which the failure domains that are out were read.
+    pub domains: StoreRevision,
+    /// Failure domains that are out.
+    pub domains_out: Vec<DomainName>,
+    /// Whether the store, or a balancer that reads it, confirmed the above lately.
+    pub is_confirmed: bool,
+    /// Whether it reads the store itself.
+    pub is_reader: bool,
+    /// Other balancers that were heard lately.
+    pub balancers: Vec<Ipv4Addr>,
+    /// Known hosts.
+    pub hosts: Vec<HostSummary>,
+}
+
+/// A host as operators are shown it.
+#[derive(Clone, Debug)]
+pub struct HostSummary {
+    /// What its agent announced.
+    pub announcement: Announcement,
+    /// Whether this balancer gives it new flows.
+    pub accepts_new: bool,
+}
+
 #[derive(Debug, Default)]
 pub(super) struct ControlState {
     next_view: Time,
@@ -215,6 +243,35 @@
         }
     }
 
+    /// Returns what operators are shown.
+    #[must_use]
+    pub fn summary(&self, now: Time) -> BalancerSummary {
+        let standing = self.catalogue.standing();
+        let is_confirmed = self
+            .catalogue
+            .confirmed_ago(now)
+            .is_some_and(|ago| ago <= self.options.fresh_for);
+        BalancerSummary {
+            catalogue: self.catalogue.version(),
+            domains: standing.map_or(StoreRevision(0), |standing| standing.revision),
+            domains_out: standing
+                .map(|standing| standing.domains_out.iter().cloned().collect())
+                .unwrap_or_default(),
+            is_confirmed,
+            is_reader: self.is_reader(now),
+            balancers: self.peers.live(now).collect(),
+            hosts: self
+                .hosts
+                .iter()
+                .map(|record| HostSummary {
+                    announcement: record.announcement.clone(),
+                    accepts_new: self.hosts.accepts_new(now, record)
+                        && !self.catalogue.is_out(&record.announcement.domain),
+                })
+                .collect(),
+        }
+    }
+
     /// Returns the number of known hosts and balancers.
     #[must_use]
     pub fn counts(&self) -> (usize, usize) {
--- a/crates/coordination/src/passthrough/balancer/mod.rs
+++ b/crates/coordination/src/passthrough/balancer/mod.rs
@@ -4,7 +4,11 @@
 mod early;
 mod outages;
 
-pub use {control::Outgoing, early::EarlyPackets, outages::ServiceOutages};
+pub use {
+    control::{BalancerSummary, HostSummary, Outgoing},
+    early::EarlyPackets,
+    outages::ServiceOutages,
+};
 
 use {
     super::{
--- a/crates/daemon/src/passthrough/balancer.rs
+++ b/crates/daemon/src/passthrough/balancer.rs
@@ -135,11 +135,7 @@
                 let _ = reply.send(self.balancer.snapshot(now));
             }
             Event::StatusRequest(reply) => {
-                let (hosts, balancers) = self.balancer.counts();
-                let _ = reply.send(json!({
-                    "role": "balancer", "hosts": hosts, "balancers": balancers,
-                    "ready": self.is_ready, "stopping": self.is_stopping,
-                }));
+                let _ = reply.send(self.status(now));
             }
             Event::Seeds(seeds) => self.balancer.on_seeds(now, &seeds),
             Event::Stop => self.stop(cx, now),
@@ -276,6 +272,40 @@
         }
     }
 
+    /// Returns the status document, with the field names of the delivery by termination.
+    fn status(&self, now: Time) -> serde_json::Value {
+        let summary = self.balancer.summary(now);
+        let hosts: Vec<serde_json::Value> = summary
+            .hosts
+            .iter()
+            .map(|host| {
+                json!({
+                    "agent": host.announcement.agent,
+                    "service": host.announcement.service,
+                    "domain": host.announcement.domain,
+                    "state": format!("{:?}", host.announcement.standing),
+                    "accepts_new": host.accepts_new,
+                })
+            })
+            .collect();
+        json!({
+            "role": "balancer",
+            "delivery": "pass_through",
+            "ready": self.is_ready,
+            "stopping": self.is_stopping,
+            "standing": if summary.is_confirmed { "serving" } else { "isolated" },
+            "reads_store": summary.is_reader,
+            "confirmed_ago_ms": self.confirmed_ago_ms(now),
+            "objects": [
+                {"key": "catalogue", "version": summary.catalogue.0},
+                {"key": "domains", "version": summary.domains.0},
+            ],
+            "domains_out": summary.domains_out,
+            "balancers": summary.balancers,
+            "hosts": hosts,
+        })
+    }
+
     fn stop(&mut self, cx: CX![], now: Time) {
         if std::mem::replace(&mut self.is_stopping, true) {
             return;
