Log searches for flows of others as samples

Change: an agent that does not own the flow of a search drops it with the cause not_owner, which is sampled; only the agent that began the search reports unknown_flow.

--- a/crates/coordination/src/passthrough/agent/mod.rs
+++ b/crates/coordination/src/passthrough/agent/mod.rs
@@ -56,6 +56,8 @@
     NoHost,
     /// Nobody is known to own the flow.
     UnknownFlow,
+    /// Another agent searches for the owner of the flow, which is not here.
+    NotOwner,
 }
 
 impl DropReason {
@@ -67,6 +69,7 @@
             Self::NoRoute => "no_route",
             Self::NoHost => "no_host",
             Self::UnknownFlow => "unknown_flow",
+            Self::NotOwner => "not_owner",
         }
     }
 }
@@ -435,7 +438,10 @@
             actions.extend(to.map(|to| Action::Relay { to, header }));
         }
         if actions.len() == before {
-            actions.push(Action::Drop(DropReason::UnknownFlow));
+            actions.push(Action::Drop(match header.kind {
+                RelayKind::Search => DropReason::NotOwner,
+                _ => DropReason::UnknownFlow,
+            }));
         }
     }
 
--- a/crates/daemon/src/passthrough/agent.rs
+++ b/crates/daemon/src/passthrough/agent.rs
@@ -338,7 +338,10 @@
     fn log(&mut self, now: Time, action: &Action, packet: &[u8]) {
         let budget = match action {
             Action::Answer | Action::Inform { .. } => return,
-            Action::Deliver | Action::DeliverStored(_) => &mut self.samples,
+            // A search reaches every agent of a service, and at most one owns the flow.
+            Action::Deliver | Action::DeliverStored(_) | Action::Drop(DropReason::NotOwner) => {
+                &mut self.samples
+            }
             Action::Relay { header, .. } if header.kind != RelayKind::Search => &mut self.samples,
             _ => &mut self.notable,
         };
