Notice backend servers with little load that fail all their requests

Cause: recent failures were counted with a half-life of 1 s against a tolerance of 2.5, so that a host with one request a second was never noticed, whatever it answered.

Change: half-life 3 s, and 5 % of failures taken for usual (3 % before), so that one failure in forty still changes nothing.

--- a/crates/coordination/src/passthrough/agent/admission.rs
+++ b/crates/coordination/src/passthrough/agent/admission.rs
@@ -95,7 +95,7 @@
         if !is_cold {
             return None;
         }
-        // An agent that has just started does not know the rate yet.
+        // An agent that has just started does not know the rate yet and admits none until then.
         let limits = self.catalogue.service(&self.identity.service);
         let flows_per_s = limits.map_or(f64::MIN_POSITIVE, |limits| limits.cold_flows_per_s);
         (flows_per_s > 0.0).then_some(flows_per_s)
--- a/crates/coordination/src/passthrough/agent/outcomes.rs
+++ b/crates/coordination/src/passthrough/agent/outcomes.rs
@@ -28,8 +28,9 @@
 /// Thresholds of the share of new flows.
 #[derive(Clone, Copy, Debug)]
 pub struct OutcomeOptions {
-    /// Time after which an outcome counts half. A backend server that has recovered gets its full
-    /// share after about four of these.
+    /// Time after which an outcome counts half: long enough that a backend server that fails one
+    /// request a second is noticed, and short enough that one that has recovered gets its full share
+    /// within some seconds.
     pub half_life: Span,
     /// Recent failures that are taken for chance.
     pub tolerated_failures: f64,
@@ -45,9 +46,9 @@
 impl Default for OutcomeOptions {
     fn default() -> Self {
         Self {
-            half_life: Span::from_secs(1),
+            half_life: Span::from_secs(3),
             tolerated_failures: 2.5,
-            tolerated_share: 0.03,
+            tolerated_share: 0.05,
             slope: 4.0,
             least_share: 0.125,
         }
--- a/crates/coordination/tests/passthrough_outcomes.rs
+++ b/crates/coordination/tests/passthrough_outcomes.rs
@@ -54,6 +54,13 @@
     assert_eq!(taken, 100);
 }
 
+#[test]
+fn verify_that_a_server_with_little_load_that_fails_everything_is_noticed() {
+    let mut outcomes = Outcomes::new(OutcomeOptions::default());
+    let taken = offer(&mut outcomes, 0, 60, 1_000, Some(1));
+    assert!(taken <= 40, "{taken} of 60 flows, one a second");
+}
+
 #[test]
 fn verify_that_single_failures_change_nothing() {
     let mut outcomes = Outcomes::new(OutcomeOptions::default());
