--- a/crates/core/src/alert/mod.rs
+++ b/crates/core/src/alert/mod.rs
@@ -27,6 +27,10 @@
     NoCandidate,
     /// A backend server refuses connections.
     ConnectFailures,
+    /// A backend server fails requests although its reports are good.
+    HostFailing,
+    /// Openings wait because the hosts of a service have no free slot.
+    HeldOpenings,
     /// Datagrams with a wrong tag, or repeated ones, arrive.
     ControlRejected,
     /// The control thread cannot keep up.
@@ -46,7 +50,7 @@
 
 impl Alert {
     /// All alerts, in the order of the operators' page.
-    pub const ALL: [Self; 13] = [
+    pub const ALL: [Self; 15] = [
         Self::StoreUnavailable,
         Self::BalancerUnreachable,
         Self::Isolated,
@@ -58,6 +62,8 @@
         Self::BurnTicket,
         Self::NoCandidate,
         Self::ConnectFailures,
+        Self::HostFailing,
+        Self::HeldOpenings,
         Self::ControlRejected,
         Self::ControlOverflow,
     ];
@@ -78,6 +84,8 @@
             Self::BurnTicket => AlertEntry::new("burn_ticket", "`report burn`: burn rate > 6 over 6 h or > 1 over 3 d", "Find the cause within the day; postpone risky changes."),
             Self::NoCandidate => AlertEntry::new("no_candidate", "`cardamomloom_dropped_packets_total{cause=\"no_candidate\"}` rises", "Start hosts of the service or bring a failure domain back."),
             Self::ConnectFailures => AlertEntry::new("connect_failures", "`cardamomloom_connect_failures_total` rises", "Check the backend server next to this agent; its flows are placed on other hosts."),
+            Self::HostFailing => AlertEntry::new("host_failing", "log event `host_failing`; `cardamomloom_admitted_share` < 0.5", "Look at the backend server beside the agent: its reports are good and its answers are failures. New flows come back by themselves once it answers; drain or restart it if it does not."),
+            Self::HeldOpenings => AlertEntry::new("held_openings", "`cardamomloom_held_openings` > 0 for longer than 10 s", "The hosts of the service have no free slot; add hosts."),
             Self::ControlRejected => AlertEntry::new("control_rejected", "`cardamomloom_control_rejected_total` or `cardamomloom_control_replayed_total` rises", "Check that all processes have the same `datagram_key`; otherwise look for the foreign sender."),
             Self::ControlOverflow => AlertEntry::new("control_overflow", "`cardamomloom_control_overflow_total` rises", "The instance is short of processor time; move it or give it more."),
         }
