Share hashing, byte order, tags and sealing between the two deliveries

Pass-through delivery had its own copy of the SplitMix64 finalizer (a third one), of reading numbers in network byte order, of the tag of headers and datagrams, of sealing control datagrams, and of the states of a host. They are core::hash, protocol::bytes, DatagramKey::tag, protocol::sealed and control::HostState now, called from both deliveries and the adapter.

Bytes on the wire do not change. The control messages of pass-through delivery are now also refused when they are too long or have trailing bytes, as those of the other delivery were.

--- a/crates/coordination/src/dissemination/index.rs
+++ b/crates/coordination/src/dissemination/index.rs
@@ -1,7 +1,10 @@
 //! Digests over identities and ranks of items, by group, so that two processes find differences
 //! without listing everything.
 
-use {cardamomloom_protocol::control::ItemRank, std::collections::BTreeMap};
+use {
+    cardamomloom_core::hash::mix, cardamomloom_protocol::control::ItemRank,
+    std::collections::BTreeMap,
+};
 
 /// Groups of an index. At 4,300 hosts a group has about 67 items, whose list fits one datagram.
 pub const GROUPS: usize = 64;
@@ -90,12 +93,3 @@
 pub const fn item_digest(id: u64, rank: u64) -> u32 {
     (mix(mix(id) ^ rank) >> 32) as u32
 }
-
-/// Finalizer of `SplitMix64` (Steele, Lea and Flood, 2014).
-#[must_use]
-pub const fn mix(value: u64) -> u64 {
-    let value = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
-    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    value ^ (value >> 31)
-}
--- a/crates/coordination/src/dissemination/rendezvous.rs
+++ b/crates/coordination/src/dissemination/rendezvous.rs
@@ -2,8 +2,7 @@
 //! same balancers.
 
 use {
-    super::index::mix,
-    cardamomloom_core::{DomainName, HostId, NodeId, RegionName},
+    cardamomloom_core::{DomainName, HostId, NodeId, RegionName, hash::mix},
     std::net::SocketAddr,
 };
 
--- a/crates/coordination/src/passthrough/agent/control.rs
+++ b/crates/coordination/src/passthrough/agent/control.rs
@@ -4,9 +4,12 @@
     super::{Action, Agent, ColdBucket, Host, HostReportState, Phase, ReportOutcome},
     crate::passthrough::{as_millis_u16, balancer::Outgoing, paced_interval},
     cardamomloom_core::{Span, Time},
-    cardamomloom_protocol::passthrough::{
-        Announcement, BalancerView, Beat, CatalogueDocument, HostReport, HostStanding, ListDigest,
-        PeerMessage, Registration, Snapshot, ZoneStanding,
+    cardamomloom_protocol::{
+        control::HostState,
+        passthrough::{
+            Announcement, BalancerView, Beat, CatalogueDocument, HostReport, ListDigest,
+            PeerMessage, Registration, Snapshot, ZoneStanding,
+        },
     },
     log::{info, warn},
     std::net::Ipv4Addr,
@@ -32,7 +35,7 @@
     stopping_since: Option<Time>,
     /// A balancer that has a newer catalogue.
     ahead: Option<Ipv4Addr>,
-    last_standing: Option<HostStanding>,
+    last_standing: Option<HostState>,
     /// Whether the log says that the backend server fails requests.
     is_failing: bool,
 }
@@ -376,16 +379,16 @@
         }
     }
 
-    fn standing(&self, now: Time) -> HostStanding {
+    fn standing(&self, now: Time) -> HostState {
         let Some(host) = &self.host else {
-            return HostStanding::Starting;
+            return HostState::Starting;
         };
         match host.state {
-            HostReportState::Gone => HostStanding::Gone,
-            HostReportState::Draining => HostStanding::Draining,
-            HostReportState::Ready if self.control.is_stopping() => HostStanding::Draining,
-            HostReportState::Ready if self.is_silent(now) => HostStanding::Starting,
-            HostReportState::Ready => HostStanding::Ready,
+            HostReportState::Gone => HostState::Gone,
+            HostReportState::Draining => HostState::Draining,
+            HostReportState::Ready if self.control.is_stopping() => HostState::Draining,
+            HostReportState::Ready if self.is_silent(now) => HostState::Starting,
+            HostReportState::Ready => HostState::Ready,
         }
     }
 }
--- a/crates/coordination/src/passthrough/balancer/mod.rs
+++ b/crates/coordination/src/passthrough/balancer/mod.rs
@@ -16,8 +16,9 @@
         PeerDirectory, PeerDirectoryOptions, flow_hash, rank,
     },
     cardamomloom_core::{ServiceName, Span, Time},
-    cardamomloom_protocol::passthrough::{
-        FlowId, HostStanding, Life, RelayHeader, Segment, ServiceTag,
+    cardamomloom_protocol::{
+        control::HostState,
+        passthrough::{FlowId, Life, RelayHeader, Segment, ServiceTag},
     },
     std::net::Ipv4Addr,
 };
@@ -271,7 +272,7 @@
             let is_present = self
                 .hosts
                 .get(placement.agent)
-                .is_none_or(|record| record.announcement.standing != HostStanding::Gone);
+                .is_none_or(|record| record.announcement.standing != HostState::Gone);
             if is_present {
                 return Some(placement);
             }
--- a/crates/coordination/src/passthrough/hosts.rs
+++ b/crates/coordination/src/passthrough/hosts.rs
@@ -3,7 +3,10 @@
 use {
     super::rank,
     cardamomloom_core::{DomainName, ServiceName, Span, Time},
-    cardamomloom_protocol::passthrough::{Announcement, Beat, HostBrief, HostStanding, Life},
+    cardamomloom_protocol::{
+        control::HostState,
+        passthrough::{Announcement, Beat, HostBrief, Life},
+    },
     std::{
         collections::{BTreeMap, BTreeSet},
         net::Ipv4Addr,
@@ -182,7 +185,7 @@
     /// Tells whether a host takes new flows, its failure domain apart.
     #[must_use]
     pub fn accepts_new(&self, now: Time, record: &HostRecord) -> bool {
-        record.announcement.standing == HostStanding::Ready && self.is_heard(now, record)
+        record.announcement.standing == HostState::Ready && self.is_heard(now, record)
     }
 
     /// Returns the host that comes first for a flow among those that have not left; packets of
@@ -196,7 +199,7 @@
         flow_hash: u64,
     ) -> Option<&HostRecord> {
         self.of_service(service)
-            .filter(|record| record.announcement.standing != HostStanding::Gone)
+            .filter(|record| record.announcement.standing != HostState::Gone)
             .max_by_key(|record| {
                 let is_heard = self.is_heard(now, record);
                 (is_heard, rank(flow_hash, record.announcement.agent))
@@ -220,7 +223,7 @@
         after
             .chain(before)
             .filter_map(|agent| self.records.get(agent))
-            .filter(|record| record.announcement.standing != HostStanding::Gone)
+            .filter(|record| record.announcement.standing != HostState::Gone)
             .take(limit)
             .map(|record| HostBrief {
                 agent: record.announcement.agent,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -1,7 +1,8 @@
-//! Types shared by every cardamomloom crate: identifiers, units, time, error kinds and alerts.
+//! Types shared by every cardamomloom crate: identifiers, units, time, hashing, error kinds and alerts.
 
 pub mod alert;
 pub mod error;
+pub mod hash;
 pub mod ids;
 pub mod time;
 pub mod units;
--- a/crates/protocol/src/control/mod.rs
+++ b/crates/protocol/src/control/mod.rs
@@ -7,31 +7,33 @@
 mod replay;
 
 pub use {
+    crate::sealed::MAX_DATAGRAM_BYTES,
     gossip::{Gossip, Heartbeat, ItemRank, Kind, Mark, Subject, WireObject},
     replay::{MAX_SENDERS, ReplayGuard},
 };
 
 use {
-    crate::{forward::DatagramKey, packet::FlowKey},
+    crate::{
+        forward::DatagramKey,
+        packet::FlowKey,
+        sealed::{self, TAG_BYTES},
+    },
     cardamomloom_core::{
         DomainName, HostId, Incarnation, NodeId, ServiceId, ServiceName, TableVersion, Weight,
-        error::{Error, ErrorKind, malformed},
+        error::Error,
     },
     serde::{Deserialize, Serialize},
-    siphasher::sip::SipHasher24,
-    std::{borrow::Cow, hash::Hasher, net::SocketAddr},
+    std::{borrow::Cow, net::SocketAddr},
 };
 
 /// Result of decoding a control datagram.
 pub type Result<T> = std::result::Result<T, Error>;
 
-/// Largest control datagram in bytes, so that it fits an Ethernet frame with its headers.
-pub const MAX_DATAGRAM_BYTES: usize = 1_400;
-
 /// Bytes of the IPv4 and UDP headers of a datagram, which count towards the control budget.
 pub const HEADER_BYTES: usize = 28;
 
-const TAG_BYTES: usize = 8;
+/// Name of the protocol in errors.
+const AREA: &str = "control";
 
 /// Who sent a datagram, and which of its datagrams this is.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -249,20 +251,7 @@
 ///
 /// Fails with kind `limit_exceeded` when the datagram is larger than [`MAX_DATAGRAM_BYTES`].
 pub fn encode(key: DatagramKey, origin: &Origin, message: &Message) -> Result<Vec<u8>> {
-    let mut datagram = postcard::to_stdvec(&(origin, on_wire(origin, message).as_ref()))
-        .map_err(|error| malformed(format!("control: message cannot be encoded: {error}")))?;
-    if datagram.len() + TAG_BYTES > MAX_DATAGRAM_BYTES {
-        return Err(Error::new(
-            ErrorKind::LimitExceeded,
-            format!(
-                "control: message of {} bytes is larger than the limit of {MAX_DATAGRAM_BYTES} bytes",
-                datagram.len() + TAG_BYTES
-            ),
-        ));
-    }
-    let tag = tag(key, &datagram);
-    datagram.extend_from_slice(&tag);
-    Ok(datagram)
+    sealed::seal(AREA, key, &(origin, on_wire(origin, message).as_ref()))
 }
 
 /// Returns a message as its datagram holds it.
@@ -299,32 +288,10 @@
 /// Fails with kind `unauthorized` when the tag does not match, and with `malformed` when the
 /// datagram is short, too long or cannot be decoded.
 pub fn decode(key: DatagramKey, datagram: &[u8]) -> Result<(Origin, Message)> {
-    if datagram.len() > MAX_DATAGRAM_BYTES {
-        return Err(malformed("control: datagram is larger than the limit"));
-    }
-    let Some((body, received_tag)) = datagram.split_last_chunk::<TAG_BYTES>() else {
-        return Err(malformed("control: datagram is shorter than its tag"));
-    };
-    if *received_tag != tag(key, body) {
-        return Err(Error::new(
-            ErrorKind::Unauthorized,
-            "control: authentication tag does not match",
-        ));
-    }
-    let ((origin, message), rest): ((Origin, Message), &[u8]) = postcard::take_from_bytes(body)
-        .map_err(|error| malformed(format!("control: datagram cannot be decoded: {error}")))?;
-    if !rest.is_empty() {
-        return Err(malformed("control: datagram has trailing bytes"));
-    }
+    let (origin, message): (Origin, Message) = sealed::open(AREA, key, datagram)?;
     let message = match message {
         Message::Heartbeat(heartbeat) => Message::Heartbeat(heartbeat.absolute_from(&origin)),
         other => other,
     };
     Ok((origin, message))
 }
-
-fn tag(key: DatagramKey, body: &[u8]) -> [u8; TAG_BYTES] {
-    let mut hasher = SipHasher24::new_with_key(&key.0);
-    hasher.write(body);
-    hasher.finish().to_be_bytes()
-}
--- a/crates/protocol/src/forward/mod.rs
+++ b/crates/protocol/src/forward/mod.rs
@@ -16,6 +16,7 @@
 //! | 40 | 8 | tag: keyed SipHash-2-4 over bytes 0 to 39 and the first 40 bytes of the packet |
 
 use {
+    crate::bytes::{be_u32, be_u64},
     cardamomloom_core::{
         BucketId, HostId, ServiceId, TableVersion,
         error::{Error, malformed},
@@ -42,6 +43,18 @@
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub struct DatagramKey(pub [u8; 16]);
 
+impl DatagramKey {
+    /// Returns the SipHash-2-4 tag of the parts of a datagram.
+    #[must_use]
+    pub fn tag(self, parts: &[&[u8]]) -> u64 {
+        let mut hasher = SipHasher24::new_with_key(&self.0);
+        for part in parts {
+            hasher.write(part);
+        }
+        hasher.finish()
+    }
+}
+
 impl std::fmt::Debug for DatagramKey {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.write_str("DatagramKey(..)")
@@ -125,7 +138,7 @@
         {
             slot.copy_from_slice(&host.0.to_be_bytes());
         }
-        let tag = tag(key, &header[..TAG_OFFSET], packet);
+        let tag = header_tag(key, &header[..TAG_OFFSET], packet, TAGGED_PACKET_BYTES);
         header[TAG_OFFSET..].copy_from_slice(&tag.to_be_bytes());
         header
     }
@@ -147,7 +160,7 @@
         if usize::from(count) > MAX_VISITED {
             return Err(malformed("forward: too many visited hosts"));
         }
-        let expected = tag(key, &header[..TAG_OFFSET], packet);
+        let expected = header_tag(key, &header[..TAG_OFFSET], packet, TAGGED_PACKET_BYTES);
         if header[TAG_OFFSET..] != expected.to_be_bytes() {
             return Err(malformed("forward: authentication tag does not match"));
         }
@@ -166,21 +179,12 @@
     }
 }
 
-fn be_u32(bytes: &[u8]) -> u32 {
-    bytes
-        .iter()
-        .fold(0, |acc, byte| acc << 8 | u32::from(*byte))
-}
-
-fn be_u64(bytes: &[u8]) -> u64 {
-    bytes
-        .iter()
-        .fold(0, |acc, byte| acc << 8 | u64::from(*byte))
-}
-
-fn tag(key: DatagramKey, header: &[u8], packet: &[u8]) -> u64 {
-    let mut hasher = SipHasher24::new_with_key(&key.0);
-    hasher.write(header);
-    hasher.write(&packet[..packet.len().min(TAGGED_PACKET_BYTES)]);
-    hasher.finish()
+/// Returns the tag of a header and the first `packet_bytes` of the packet behind it.
+pub(crate) fn header_tag(
+    key: DatagramKey,
+    header: &[u8],
+    packet: &[u8],
+    packet_bytes: usize,
+) -> u64 {
+    key.tag(&[header, &packet[..packet.len().min(packet_bytes)]])
 }
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -1,10 +1,12 @@
 //! Wire formats and object schemas; this crate does no I/O and takes no decisions.
 
+pub mod bytes;
 pub mod control;
 pub mod forward;
 pub mod gue;
 pub mod object;
 pub mod packet;
 pub mod passthrough;
+mod sealed;
 pub mod store_api;
 pub mod sync;
--- a/crates/protocol/src/passthrough/header.rs
+++ b/crates/protocol/src/passthrough/header.rs
@@ -20,7 +20,10 @@
 
 use {
     super::{CatalogueVersion, Life},
-    crate::forward::DatagramKey,
+    crate::{
+        bytes::{be_u32, be_u64},
+        forward::{DatagramKey, header_tag},
+    },
     cardamomloom_core::{
         ServiceName,
         error::{Error, malformed},
@@ -158,7 +161,7 @@
         for (slot, agent) in header[32..TAG_OFFSET].chunks_exact_mut(4).zip(self.visited) {
             slot.copy_from_slice(&agent.octets());
         }
-        let tag = tag(key, &header[..TAG_OFFSET], packet);
+        let tag = header_tag(key, &header[..TAG_OFFSET], packet, TAGGED_PACKET_BYTES);
         header[TAG_OFFSET..].copy_from_slice(&tag.to_be_bytes());
         header
     }
@@ -187,7 +190,9 @@
         if usize::from(visited_count) > MAX_VISITED {
             return Err(malformed("relay: too many visited agents"));
         }
-        if header[TAG_OFFSET..] != tag(key, &header[..TAG_OFFSET], packet).to_be_bytes() {
+        if header[TAG_OFFSET..]
+            != header_tag(key, &header[..TAG_OFFSET], packet, TAGGED_PACKET_BYTES).to_be_bytes()
+        {
             return Err(malformed("relay: authentication tag does not match"));
         }
         let mut visited = [Ipv4Addr::UNSPECIFIED; MAX_VISITED];
@@ -213,22 +218,3 @@
         Ok((decoded, packet))
     }
 }
-
-fn be_u32(bytes: &[u8]) -> u32 {
-    bytes
-        .iter()
-        .fold(0, |value, byte| value << 8 | u32::from(*byte))
-}
-
-fn be_u64(bytes: &[u8]) -> u64 {
-    bytes
-        .iter()
-        .fold(0, |value, byte| value << 8 | u64::from(*byte))
-}
-
-fn tag(key: DatagramKey, header: &[u8], packet: &[u8]) -> u64 {
-    let mut hasher = SipHasher24::new_with_key(&key.0);
-    hasher.write(header);
-    hasher.write(&packet[..packet.len().min(TAGGED_PACKET_BYTES)]);
-    hasher.finish()
-}
--- a/crates/protocol/src/passthrough/message.rs
+++ b/crates/protocol/src/passthrough/message.rs
@@ -4,11 +4,8 @@
 
 use {
     super::{CatalogueDocument, CatalogueVersion, FlowId, ZoneStanding},
-    crate::forward::DatagramKey,
-    cardamomloom_core::{
-        DomainName, ServiceName,
-        error::{Error, ErrorKind, malformed},
-    },
+    crate::{control::HostState, forward::DatagramKey, sealed},
+    cardamomloom_core::{DomainName, ServiceName, error::Error},
     serde::{Deserialize, Serialize},
     siphasher::sip::SipHasher24,
     std::{
@@ -23,10 +20,8 @@
 /// Result of encoding or decoding a control message.
 pub type Result<T> = std::result::Result<T, Error>;
 
-/// Largest control datagram in bytes.
-pub const MAX_DATAGRAM_BYTES: usize = 1_400;
-
-const TAG_BYTES: usize = 8;
+/// Name of the protocol in errors.
+const AREA: &str = "passthrough";
 
 /// Tells apart the lives of backend servers at one address; 0 when it is not known.
 #[derive(
@@ -49,19 +44,6 @@
     }
 }
 
-/// What an agent says of its host.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub enum HostStanding {
-    /// The agent runs and has not heard of its backend server.
-    Starting,
-    /// The host takes new flows.
-    Ready,
-    /// The host keeps its flows and takes no new ones.
-    Draining,
-    /// The backend server is gone or silent.
-    Gone,
-}
-
 /// Tells whether two processes have the same list of hosts.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
@@ -112,7 +94,7 @@
     /// Life of the backend server.
     pub life: Life,
     /// State of the host.
-    pub standing: HostStanding,
+    pub standing: HostState,
     /// Catalogue that the agent knows.
     pub catalogue: CatalogueVersion,
     /// Time until the next announcement or beat.
@@ -218,20 +200,7 @@
 ///
 /// Fails with kind `limit_exceeded` when the message does not fit a datagram.
 pub fn seal(key: DatagramKey, message: &PeerMessage) -> Result<Vec<u8>> {
-    let mut datagram = postcard::to_stdvec(message)
-        .map_err(|error| malformed(format!("passthrough: message cannot be encoded: {error}")))?;
-    if datagram.len() + TAG_BYTES > MAX_DATAGRAM_BYTES {
-        return Err(Error::new(
-            ErrorKind::LimitExceeded,
-            format!(
-                "passthrough: message of {} bytes exceeds the limit of {MAX_DATAGRAM_BYTES} bytes",
-                datagram.len() + TAG_BYTES
-            ),
-        ));
-    }
-    let tag = tag(key, &datagram);
-    datagram.extend_from_slice(&tag);
-    Ok(datagram)
+    sealed::seal(AREA, key, message)
 }
 
 /// Checks and decodes a control message.
@@ -239,23 +208,7 @@
 /// # Errors
 ///
 /// Fails with kind `unauthorized` when the tag does not match, and with `malformed` when the
-/// datagram is short or cannot be decoded.
+/// datagram is short, too long or cannot be decoded.
 pub fn open(key: DatagramKey, datagram: &[u8]) -> Result<PeerMessage> {
-    let Some((body, received_tag)) = datagram.split_last_chunk::<TAG_BYTES>() else {
-        return Err(malformed("passthrough: datagram is shorter than its tag"));
-    };
-    if *received_tag != tag(key, body) {
-        return Err(Error::new(
-            ErrorKind::Unauthorized,
-            "passthrough: authentication tag does not match",
-        ));
-    }
-    postcard::from_bytes(body)
-        .map_err(|error| malformed(format!("passthrough: datagram cannot be decoded: {error}")))
-}
-
-fn tag(key: DatagramKey, body: &[u8]) -> [u8; TAG_BYTES] {
-    let mut hasher = SipHasher24::new_with_key(&key.0);
-    hasher.write(body);
-    hasher.finish().to_be_bytes()
+    sealed::open(AREA, key, datagram)
 }
--- a/crates/protocol/src/passthrough/mod.rs
+++ b/crates/protocol/src/passthrough/mod.rs
@@ -13,8 +13,8 @@
     },
     header::{LeastLoaded, MAX_VISITED, RELAY_HEADER_BYTES, RelayHeader, RelayKind, ServiceTag},
     message::{
-        Announcement, BalancerView, Beat, FlowOwner, HostBrief, HostStanding, Life, ListDigest,
-        PeerMessage, Snapshot, open, seal,
+        Announcement, BalancerView, Beat, FlowOwner, HostBrief, Life, ListDigest, PeerMessage,
+        Snapshot, open, seal,
     },
     segment::{FlowId, PacketFormat, Segment, SegmentFlags},
 };
--- a/crates/state/src/candidates/score.rs
+++ b/crates/state/src/candidates/score.rs
@@ -1,8 +1,11 @@
 //! Scores of weighted rendezvous hashing in integer arithmetic.
 
-use super::{
-    Candidate,
-    best::{Best, Scored},
+use {
+    super::{
+        Candidate,
+        best::{Best, Scored},
+    },
+    cardamomloom_core::hash::mix,
 };
 
 /// Fraction bits of the base-2 logarithm.
@@ -115,14 +118,6 @@
     mix(bucket as u64 | 1 << 40)
 }
 
-/// Finalizer of `SplitMix64` (Steele, Lea and Flood, 2014): every input bit affects every output bit.
-const fn mix(value: u64) -> u64 {
-    let value = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
-    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    value ^ (value >> 31)
-}
-
 /// Returns a lower bound of [`negative_log2`] without its loop.
 ///
 /// -log2(u) is at least (1 - u) / ln 2 for u in (0, 1], and `negative_log2` rounds up.
