Simplify the control paths of balancer and agent

Balancer and agent each had their own choice of the interval while alone, loop over balancers to add, comparison with the view of a balancer, log lines for what comes into force, and copies of a message to many; these are in PeerDirectory, CatalogueView and Outgoing now. The list of failure domains was formatted for every view that arrived, also without a change.

A cold host was asked for room twice for one opening, so the second answer was never no; the token is taken where the flow is. Releasing held openings took a token also when none was left to release. The rate that is not known yet is zero and no longer the smallest number above it.

The agent parsed every answer of its host twice, and set its gauges and counters after every control message; it does the latter on its tick. The code that finds the owner of a flow has a file of its own. Accessors that nobody used and a parameter that did nothing are gone.

--- a/crates/coordination/src/passthrough/agent/admission.rs
+++ b/crates/coordination/src/passthrough/agent/admission.rs
@@ -14,8 +14,11 @@
 const FAILING_EXCESS: u8 = u8::MAX - 1;
 
 impl Agent {
-    /// Takes a new flow.
+    /// Takes a new flow, which the host bears.
     pub(super) fn take(&mut self, now: Time, flow: FlowId, header: &RelayHeader, packet: &[u8]) {
+        if let Some(flows_per_s) = self.cold_flows_per_s(now) {
+            self.bucket.take(now, flows_per_s);
+        }
         let mut entry = OwnFlow::new(
             now,
             Phase::Opening {
@@ -36,7 +39,7 @@
         while !self.held.is_empty()
             && self.has_room()
             && self.may_take(now)
-            && self.may_start_cold(now)
+            && self.bears_one_more(now)
         {
             let Some(opening) = self.held.take(now) else {
                 return;
@@ -74,14 +77,6 @@
             && self.flows.active() < max_connections as usize
     }
 
-    /// Tells whether a cold host bears one more flow, and counts it.
-    pub(super) fn may_start_cold(&mut self, now: Time) -> bool {
-        match self.cold_flows_per_s(now) {
-            Some(flows_per_s) => self.bucket.take(now, flows_per_s),
-            None => true,
-        }
-    }
-
     /// Tells whether the host bears one more flow, if it is cold.
     pub(super) fn bears_one_more(&self, now: Time) -> bool {
         self.cold_flows_per_s(now)
@@ -95,10 +90,11 @@
         if !is_cold {
             return None;
         }
-        // An agent that has just started does not know the rate yet and admits none until then.
-        let limits = self.catalogue.service(&self.identity.service);
-        let flows_per_s = limits.map_or(f64::MIN_POSITIVE, |limits| limits.cold_flows_per_s);
-        (flows_per_s > 0.0).then_some(flows_per_s)
+        match self.catalogue.service(&self.identity.service) {
+            Some(limits) => (limits.cold_flows_per_s > 0.0).then_some(limits.cold_flows_per_s),
+            // An agent that has just started does not know the rate yet and admits none until then.
+            None => Some(0.0),
+        }
     }
 
     /// Returns how many requests would wait beyond the slots of the host with one more flow, or
--- a/crates/coordination/src/passthrough/agent/control.rs
+++ b/crates/coordination/src/passthrough/agent/control.rs
@@ -2,13 +2,13 @@
 
 use {
     super::{Action, Agent, ColdBucket, Host, HostReportState, Phase, ReportOutcome},
-    crate::passthrough::{as_millis_u16, balancer::Outgoing, paced_interval},
+    crate::passthrough::{Outgoing, as_millis_u16, paced_interval},
     cardamomloom_core::{Span, Time},
     cardamomloom_protocol::{
         control::HostState,
         passthrough::{
             Announcement, BalancerView, Beat, CatalogueDocument, HostReport, ListDigest,
-            PeerMessage, Registration, Snapshot, ZoneStanding,
+            PeerMessage, Snapshot, ZoneStanding,
         },
     },
     log::{info, warn},
@@ -108,13 +108,9 @@
         if now < self.control.next_announcement {
             return Vec::new();
         }
-        let is_alone = self.peers.live(now).next().is_none();
-        self.control.next_announcement = now
-            + if is_alone {
-                self.options.search_interval
-            } else {
-                self.announce_interval()
-            };
+        self.control.next_announcement =
+            self.peers
+                .next_sign(now, self.announce_interval(), self.options.search_interval);
         self.peers.expire(now);
         let options = self.options;
         self.flows.expire(|entry| {
@@ -143,20 +139,14 @@
 
     /// Takes over a catalogue.
     pub fn on_catalogue(&mut self, document: CatalogueDocument) {
-        let (version, routes) = (document.version, document.routes.len());
         if self.catalogue.apply_document(document) {
             self.control.next_announcement = Time::ZERO;
-            info!(event = "catalogue_in_force", version:%, routes; "catalogue is in force");
         }
     }
 
     /// Takes over which failure domains are out.
     pub fn on_standing(&mut self, standing: ZoneStanding) {
-        let revision = standing.revision;
-        let domains = format!("{:?}", standing.domains_out);
-        if self.catalogue.apply_standing(standing) {
-            info!(event = "domains_out_changed", revision:%, domains; "failure domains that are out");
-        }
+        self.catalogue.apply_standing(standing);
     }
 
     /// Notes that the store confirmed catalogue and failure domains at a time.
@@ -173,14 +163,12 @@
         if let Some(standing) = snapshot.standing {
             self.on_standing(standing);
         }
-        for balancer in snapshot.balancers {
-            self.peers.add(now, balancer);
-        }
+        self.peers.add_all(now, snapshot.balancers);
     }
 
     /// Returns the balancer to copy from, if it has what this agent lacks.
     #[must_use]
-    pub fn snapshot_source(&mut self, _now: Time) -> Option<Ipv4Addr> {
+    pub const fn snapshot_source(&mut self) -> Option<Ipv4Addr> {
         self.control.ahead.take()
     }
 
@@ -211,21 +199,10 @@
         })
     }
 
-    /// Takes over the balancers that are registered in the store.
-    pub fn on_registry(&mut self, now: Time, registrations: &[Registration]) {
-        for registration in registrations {
-            if self.peers.add(now, registration.address) {
-                self.control.next_announcement = Time::ZERO;
-            }
-        }
-    }
-
-    /// Adds processes that may be balancers.
-    pub fn on_seeds(&mut self, now: Time, seeds: &[Ipv4Addr]) {
-        for seed in seeds {
-            if self.peers.add(now, *seed) {
-                self.control.next_announcement = Time::ZERO;
-            }
+    /// Adds processes that may be balancers, and announces the host to new ones at once.
+    pub fn add_balancers(&mut self, now: Time, balancers: impl IntoIterator<Item = Ipv4Addr>) {
+        if self.peers.add_all(now, balancers) {
+            self.control.next_announcement = Time::ZERO;
         }
     }
 
@@ -237,17 +214,12 @@
 
     fn on_view(&mut self, now: Time, view: BalancerView) -> Vec<Outgoing> {
         let added = self.peers.on_view(now, &view);
+        if self.catalogue.compare(now, &view) {
+            self.control.ahead = Some(view.balancer);
+        }
         if let Some(standing) = view.standing {
             self.on_standing(standing);
         }
-        if view.catalogue > self.catalogue.version() {
-            self.control.ahead = Some(view.balancer);
-        } else if let Some(ago_ms) = view.confirmed_ago_ms
-            && view.catalogue == self.catalogue.version()
-        {
-            self.catalogue
-                .confirm(now - Span::from_millis(u64::from(ago_ms)));
-        }
         if !view.hosts.is_empty() {
             self.control.hosts_digest = ListDigest::of(&view.hosts);
             self.others = view.hosts;
@@ -260,13 +232,7 @@
             return Vec::new();
         }
         let message = PeerMessage::Announcement(self.announcement(now));
-        receivers
-            .into_iter()
-            .map(|to| Outgoing {
-                to,
-                message: message.clone(),
-            })
-            .collect()
+        Outgoing::to_each(receivers, &message).collect()
     }
 
     /// Resets the flows that were open before the last report of an earlier life. Later ones may
--- a/crates/coordination/src/passthrough/agent/host.rs
+++ b/crates/coordination/src/passthrough/agent/host.rs
@@ -117,20 +117,15 @@
     /// its rate and 5 flows more.
     const CAPACITY: f64 = 4.0;
 
-    /// Tells whether a token is there.
+    /// Tells whether a token is there; the bucket starts empty.
     pub fn has_token(&self, now: Time, flows_per_s: f64) -> bool {
         self.filled_until(now, flows_per_s) >= 1.0
     }
 
-    /// Takes a token if one is there; the bucket starts empty.
-    pub fn take(&mut self, now: Time, flows_per_s: f64) -> bool {
-        self.tokens = self.filled_until(now, flows_per_s);
+    /// Takes a token, which must be there.
+    pub fn take(&mut self, now: Time, flows_per_s: f64) {
+        self.tokens = self.filled_until(now, flows_per_s) - 1.0;
         self.filled = now;
-        if self.tokens < 1.0 {
-            return false;
-        }
-        self.tokens -= 1.0;
-        true
     }
 
     fn filled_until(&self, now: Time, flows_per_s: f64) -> f64 {
--- a/crates/coordination/src/passthrough/agent/mod.rs
+++ b/crates/coordination/src/passthrough/agent/mod.rs
@@ -7,6 +7,7 @@
 mod host;
 mod options;
 mod outcomes;
+mod search;
 
 pub use {
     held::{HeldOpening, HeldOpenings},
@@ -24,6 +25,7 @@
     flows::{OwnFlow, OwnFlows, Phase},
     host::{ColdBucket, Host},
     outcomes::outcome_of,
+    search::informed,
     std::{
         collections::VecDeque,
         net::{Ipv4Addr, SocketAddrV4},
@@ -82,7 +84,10 @@
     /// Gives an earlier packet to the backend server.
     DeliverStored(Box<[u8]>),
     /// Sends the packet to its caller.
-    Answer,
+    Answer {
+        /// Address of the caller.
+        caller: Ipv4Addr,
+    },
     /// Sends the packet to another agent.
     Relay {
         /// Address of the agent.
@@ -157,9 +162,7 @@
         now: Time,
     ) -> Self {
         let mut peers = PeerDirectory::new(identity.address, options.peers);
-        for seed in seeds {
-            peers.add(now, *seed);
-        }
+        peers.add_all(now, seeds.iter().copied());
         Self {
             tag: ServiceTag::from(&identity.service),
             started: now,
@@ -251,7 +254,9 @@
             let informed = std::mem::take(&mut entry.inform);
             actions.extend(informed.into_iter().map(|to| Action::Inform { to, flow }));
         });
-        actions.push(Action::Answer);
+        actions.push(Action::Answer {
+            caller: *segment.destination.ip(),
+        });
         self.release_held(now, actions);
     }
 
@@ -355,96 +360,10 @@
             );
             return;
         }
-        if !self.may_start_cold(now) {
-            self.pass_on(header, &flow, actions);
-            return;
-        }
         self.take(now, flow, header, packet);
         actions.push(Action::Deliver);
     }
 
-    fn on_segment(
-        &mut self,
-        now: Time,
-        header: &RelayHeader,
-        segment: &Segment,
-        actions: &mut Vec<Action>,
-    ) {
-        let flow = segment.flow_from_caller();
-        let is_own = self
-            .flows
-            .get(&flow)
-            .is_some_and(|entry| !segment.flags.is_ack || entry.matches(segment.acknowledgment));
-        if is_own {
-            self.flows.update(&flow, |entry| {
-                entry.used = now;
-                entry.is_caller_finished |= segment.flags.is_fin;
-                let waited = now.since(entry.asked);
-                let gives_up = segment.flags.is_fin || segment.flags.is_rst;
-                if gives_up && entry.is_waiting && waited >= self.options.answer_patience {
-                    entry.is_waiting = false;
-                    self.outcomes.record(now, Outcome::Failed);
-                }
-                if segment.payload_bytes > 0 && !std::mem::replace(&mut entry.is_waiting, true) {
-                    entry.asked = now;
-                }
-                if segment.flags.is_ack {
-                    entry.caller_acknowledgment = Some(segment.acknowledgment);
-                }
-                end_if_finished(entry, segment);
-            });
-            actions.push(Action::Deliver);
-            if header.kind != RelayKind::Forward {
-                let told = informed(header).into_iter();
-                actions.extend(told.map(|to| Action::Inform { to, flow }));
-            }
-            return;
-        }
-        self.search(now, header, &flow, actions);
-    }
-
-    /// Sends a packet of a flow that is not known here to where it may be known.
-    fn search(
-        &mut self,
-        now: Time,
-        header: &RelayHeader,
-        flow: &FlowId,
-        actions: &mut Vec<Action>,
-    ) {
-        let before = actions.len();
-        if self.may_hold_unknown(now) && self.flows.get(flow).is_none() {
-            let mut entry = OwnFlow::new(now, Phase::Probing);
-            entry.inform = informed(header);
-            self.flows.insert(*flow, entry);
-            actions.push(Action::Deliver);
-        } else if self
-            .flows
-            .get(flow)
-            .is_some_and(|entry| matches!(entry.phase, Phase::Probing))
-        {
-            actions.push(Action::Deliver);
-        }
-        if header.kind == RelayKind::Forward
-            && let Some(header) =
-                header.relayed_by(self.identity.address, RelayKind::Search, Life::default())
-        {
-            let known_owner = self.owners.touch(now, flow).copied();
-            let own = self.identity.address;
-            let all = self.others.iter().map(|host| host.agent);
-            let to = known_owner
-                .map_or_else(|| all.collect(), |owner| vec![owner])
-                .into_iter()
-                .filter(|agent| *agent != own);
-            actions.extend(to.map(|to| Action::Relay { to, header }));
-        }
-        if actions.len() == before {
-            actions.push(Action::Drop(match header.kind {
-                RelayKind::Search => DropReason::NotOwner,
-                _ => DropReason::UnknownFlow,
-            }));
-        }
-    }
-
     fn on_bounced(
         &mut self,
         now: Time,
@@ -484,26 +403,12 @@
             });
         }
     }
-
-    /// Tells whether the backend server may hold flows that this process does not know.
-    fn may_hold_unknown(&self, now: Time) -> bool {
-        !self.saw_birth && now.since(self.started) <= self.options.max_flow
-    }
 }
 
 fn visited(header: &RelayHeader, agent: Ipv4Addr) -> bool {
     header.visited().contains(&agent)
 }
 
-/// Returns the processes that had a packet before this one.
-fn informed(header: &RelayHeader) -> Vec<Ipv4Addr> {
-    if header.kind == RelayKind::Forward {
-        return Vec::new();
-    }
-    let visited = header.visited().iter();
-    visited.chain([&header.balancer]).copied().collect()
-}
-
 fn end_if_finished(entry: &mut OwnFlow, segment: &Segment) {
     if segment.flags.is_rst || (entry.is_caller_finished && entry.is_server_finished) {
         entry.phase = Phase::Ended;
--- a/crates/coordination/src/passthrough/balancer/control.rs
+++ b/crates/coordination/src/passthrough/balancer/control.rs
@@ -2,7 +2,7 @@
 
 use {
     super::Balancer,
-    crate::passthrough::{as_millis_u16, paced_interval},
+    crate::passthrough::{Outgoing, as_millis_u16, paced_interval},
     cardamomloom_core::{DomainName, Span, Time},
     cardamomloom_protocol::passthrough::{
         Announcement, BalancerView, Beat, CatalogueDocument, CatalogueVersion, HostBrief,
@@ -26,15 +26,6 @@
 /// Time after a change of the known balancers in which every sign of life names them.
 const NEWS_SPAN: Span = Span::from_secs(2);
 
-/// A control message to send.
-#[derive(Clone, Debug)]
-pub struct Outgoing {
-    /// Address of the receiver.
-    pub to: Ipv4Addr,
-    /// The message.
-    pub message: PeerMessage,
-}
-
 /// What a balancer shows to operators.
 #[derive(Clone, Debug)]
 pub struct BalancerSummary {
@@ -84,13 +75,9 @@
         if now < self.control.next_view {
             return Vec::new();
         }
-        let is_alone = self.peers.live(now).next().is_none();
-        self.control.next_view = now
-            + if is_alone {
-                self.options.search_interval
-            } else {
-                self.view_interval()
-            };
+        self.control.next_view =
+            self.peers
+                .next_sign(now, self.view_interval(), self.options.search_interval);
         self.peers.expire(now);
         self.control.turn += 1;
         for agent in self.hosts.expire(now) {
@@ -114,23 +101,20 @@
 
     /// Takes over a catalogue of the store or of a peer, and returns what to tell others.
     pub fn on_catalogue(&mut self, now: Time, document: CatalogueDocument) -> Vec<Outgoing> {
-        let (version, routes) = (document.version, document.routes.len());
-        if !self.catalogue.apply_document(document) {
-            return Vec::new();
+        if self.catalogue.apply_document(document) {
+            self.tell_all(now)
+        } else {
+            Vec::new()
         }
-        info!(event = "catalogue_in_force", version:%, routes; "catalogue is in force");
-        self.tell_all(now)
     }
 
     /// Takes over which failure domains are out, and returns what to tell others.
     pub fn on_standing(&mut self, now: Time, standing: ZoneStanding) -> Vec<Outgoing> {
-        let revision = standing.revision;
-        let domains = format!("{:?}", standing.domains_out);
-        if !self.catalogue.apply_standing(standing) {
-            return Vec::new();
+        if self.catalogue.apply_standing(standing) {
+            self.tell_all(now)
+        } else {
+            Vec::new()
         }
-        info!(event = "domains_out_changed", revision:%, domains; "failure domains that are out");
-        self.tell_all(now)
     }
 
     /// Notes that the store confirmed catalogue and failure domains at a time.
@@ -149,9 +133,7 @@
         if let Some(standing) = snapshot.standing {
             outgoing.extend(self.on_standing(now, standing));
         }
-        for balancer in snapshot.balancers {
-            self.peers.add(now, balancer);
-        }
+        self.peers.add_all(now, snapshot.balancers);
         for host in snapshot.hosts {
             self.hosts.on_peer_record(now, host);
         }
@@ -218,11 +200,7 @@
     /// Takes over the balancers that are registered in the store, and returns the entries to
     /// remove: those of balancers that were silent for as long as this process has run.
     pub fn on_registry(&mut self, now: Time, registrations: &[Registration]) -> Vec<Registration> {
-        for registration in registrations {
-            if self.peers.add(now, registration.address) {
-                self.control.next_view = Time::ZERO;
-            }
-        }
+        self.add_balancers(now, registrations.iter().map(|entry| entry.address));
         let may_judge = now.since(self.started) >= self.options.registration_timeout
             && self.is_reader(now)
             && self.peers.readers_before(now, self.own) == 0;
@@ -234,12 +212,10 @@
             .collect()
     }
 
-    /// Adds processes that may be balancers.
-    pub fn on_seeds(&mut self, now: Time, seeds: &[Ipv4Addr]) {
-        for seed in seeds {
-            if self.peers.add(now, *seed) {
-                self.control.next_view = Time::ZERO;
-            }
+    /// Adds processes that may be balancers, and shows itself to new ones at once.
+    pub fn add_balancers(&mut self, now: Time, balancers: impl IntoIterator<Item = Ipv4Addr>) {
+        if self.peers.add_all(now, balancers) {
+            self.control.next_view = Time::ZERO;
         }
     }
 
@@ -265,8 +241,7 @@
                 .iter()
                 .map(|record| HostSummary {
                     announcement: record.announcement.clone(),
-                    accepts_new: self.hosts.accepts_new(now, record)
-                        && !self.catalogue.is_out(&record.announcement.domain),
+                    accepts_new: self.is_usable(now, record),
                 })
                 .collect(),
         }
@@ -337,23 +312,15 @@
             Some(standing) => self.on_standing(now, standing.clone()),
             None => Vec::new(),
         };
-        if view.catalogue > self.catalogue.version() {
+        if self.catalogue.compare(now, view) {
             self.control.ahead = Some(view.balancer);
-        } else if let Some(ago_ms) = view.confirmed_ago_ms
-            && view.catalogue == self.catalogue.version()
-        {
-            self.catalogue
-                .confirm(now - Span::from_millis(u64::from(ago_ms)));
         }
         if !added.is_empty() {
             let mut view = self.short_view(now);
             view.balancers = self.known_balancers();
             view.wants_answer = true;
             let message = PeerMessage::View(view);
-            outgoing.extend(added.into_iter().map(|to| Outgoing {
-                to,
-                message: message.clone(),
-            }));
+            outgoing.extend(Outgoing::to_each(added, &message));
             // Agents announce themselves to the new balancers at once.
             outgoing.extend(self.views_for_agents(now));
         }
@@ -391,21 +358,13 @@
             view.balancers = self.known_balancers();
         }
         let message = PeerMessage::View(view);
-        receivers
-            .into_iter()
-            .map(|to| Outgoing {
-                to,
-                message: message.clone(),
-            })
-            .collect()
+        Outgoing::to_each(receivers, &message).collect()
     }
 
-    fn views_for_agents(&self, now: Time) -> impl Iterator<Item = Outgoing> {
+    fn views_for_agents(&self, now: Time) -> Vec<Outgoing> {
         let message = PeerMessage::View(self.short_view(now));
-        self.hosts.iter().map(move |record| Outgoing {
-            to: record.announcement.agent,
-            message: message.clone(),
-        })
+        let agents = self.hosts.iter().map(|record| record.announcement.agent);
+        Outgoing::to_each(agents, &message).collect()
     }
 
     fn view_interval(&self) -> Span {
@@ -456,8 +415,8 @@
     }
 
     fn host_briefs(&self, now: Time, agent: &Announcement) -> Vec<HostBrief> {
-        let is_out = |domain: &_| self.catalogue.is_out(domain);
-        self.hosts.briefs(now, agent, is_out, MAX_BRIEFS)
+        let is_usable = |record: &_| self.is_usable(now, record);
+        self.hosts.briefs(agent, is_usable, MAX_BRIEFS)
     }
 
     fn confirmed_ago_ms(&self, now: Time) -> Option<u32> {
--- a/crates/coordination/src/passthrough/balancer/mod.rs
+++ b/crates/coordination/src/passthrough/balancer/mod.rs
@@ -5,7 +5,7 @@
 mod outages;
 
 pub use {
-    control::{BalancerSummary, HostSummary, Outgoing},
+    control::{BalancerSummary, HostSummary},
     early::EarlyPackets,
     outages::ServiceOutages,
 };
@@ -143,9 +143,7 @@
     #[must_use]
     pub fn new(options: BalancerOptions, own: Ipv4Addr, seeds: &[Ipv4Addr], now: Time) -> Self {
         let mut peers = PeerDirectory::new(own, options.peers);
-        for seed in seeds {
-            peers.add(now, *seed);
-        }
+        peers.add_all(now, seeds.iter().copied());
         Self {
             own,
             started: now,
@@ -165,7 +163,7 @@
         let (service, tag) = match self.catalogue.lookup(&flow) {
             Lookup::Uninformed => return Verdict::Drop(DropReason::Uninformed),
             Lookup::NoRoute => return self.on_unknown_address(now, segment),
-            Lookup::Service(_, service) => (service.clone(), ServiceTag::from(service)),
+            Lookup::Service(service) => (service.clone(), ServiceTag::from(service)),
         };
         let chosen = if segment.is_opening() {
             self.place(now, &flow, segment.acknowledgment, &service)
@@ -209,6 +207,11 @@
         self.placements.insert(now, flow, Placement { agent, life });
     }
 
+    /// Tells whether a host may be given new flows.
+    fn is_usable(&self, now: Time, record: &HostRecord) -> bool {
+        self.hosts.accepts_new(now, record) && !self.catalogue.is_out(&record.announcement.domain)
+    }
+
     /// A first opening packet is dropped without an answer, because its route may be newer than
     /// this balancer's catalogue; its copy comes 200 ms later.
     fn on_unknown_address(&self, now: Time, segment: &Segment) -> Verdict {
@@ -251,10 +254,10 @@
             .filter(|_| copies_before > 0)
             .map(|placement| placement.agent);
         let hash = flow_hash(flow);
-        let usable = self.hosts.of_service(service).filter(|record| {
-            self.hosts.accepts_new(now, record)
-                && !self.catalogue.is_out(&record.announcement.domain)
-        });
+        let usable = self
+            .hosts
+            .of_service(service)
+            .filter(|record| self.is_usable(now, record));
         let chosen = usable
             .min_by_key(|record| {
                 let agent = record.announcement.agent;
--- a/crates/coordination/src/passthrough/catalogue.rs
+++ b/crates/coordination/src/passthrough/catalogue.rs
@@ -4,8 +4,10 @@
     super::flow_hash,
     cardamomloom_core::{DomainName, ServiceName, Span, Time},
     cardamomloom_protocol::passthrough::{
-        CatalogueDocument, CatalogueVersion, FlowId, RouteEntry, ServiceEntry, ZoneStanding,
+        BalancerView, CatalogueDocument, CatalogueVersion, FlowId, RouteEntry, ServiceEntry,
+        ZoneStanding,
     },
+    log::info,
     std::{collections::HashMap, net::SocketAddrV4},
 };
 
@@ -26,12 +28,13 @@
     Uninformed,
     /// The catalogue has no such address.
     NoRoute,
-    /// The route and the service that takes the flow.
-    Service(&'a RouteEntry, &'a ServiceName),
+    /// The service that takes the flow.
+    Service(&'a ServiceName),
 }
 
 impl CatalogueView {
-    /// Puts a catalogue in force and tells whether it is newer than the present one.
+    /// Puts a catalogue in force, with a log line, and tells whether it is newer than the present
+    /// one.
     pub fn apply_document(&mut self, document: CatalogueDocument) -> bool {
         if self.document.is_some() && document.version <= self.version() {
             return false;
@@ -40,24 +43,35 @@
             .zip(&document.routes)
             .map(|(index, route)| (route.address, index))
             .collect();
+        info!(event = "catalogue_in_force", version:% = document.version, routes = document.routes.len(); "catalogue is in force");
         self.document = Some(document);
         true
     }
 
-    /// Takes over which failure domains are out and tells whether that is a change.
+    /// Takes over which failure domains are out, with a log line if that is a change, and tells
+    /// whether it is.
     pub fn apply_standing(&mut self, standing: ZoneStanding) -> bool {
-        match &mut self.standing {
-            Some(present) if standing.revision <= present.revision => false,
-            Some(present) => {
-                let is_change = present.domains_out != standing.domains_out;
-                *present = standing;
-                is_change
-            }
-            None => {
-                self.standing = Some(standing);
-                true
-            }
+        let present = self.standing.as_ref();
+        if present.is_some_and(|present| standing.revision <= present.revision) {
+            return false;
+        }
+        let is_change = present.is_none_or(|present| present.domains_out != standing.domains_out);
+        if is_change {
+            info!(event = "domains_out_changed", revision:% = standing.revision, domains:? = standing.domains_out; "failure domains that are out");
+        }
+        self.standing = Some(standing);
+        is_change
+    }
+
+    /// Compares this view with that of a balancer: a confirmation of the same catalogue holds here
+    /// too. Tells whether the balancer has a newer catalogue.
+    pub fn compare(&mut self, now: Time, view: &BalancerView) -> bool {
+        if view.catalogue == self.version()
+            && let Some(ago_ms) = view.confirmed_ago_ms
+        {
+            self.confirm(now - Span::from_millis(u64::from(ago_ms)));
         }
+        view.catalogue > self.version()
     }
 
     /// Records that the store confirmed this view at a time.
@@ -143,7 +157,7 @@
             return Lookup::NoRoute;
         };
         match target(route, flow) {
-            Some(service) => Lookup::Service(route, service),
+            Some(service) => Lookup::Service(service),
             None => Lookup::NoRoute,
         }
     }
--- a/crates/coordination/src/passthrough/hosts.rs
+++ b/crates/coordination/src/passthrough/hosts.rs
@@ -2,7 +2,7 @@
 
 use {
     super::rank,
-    cardamomloom_core::{DomainName, ServiceName, Span, Time},
+    cardamomloom_core::{ServiceName, Span, Time},
     cardamomloom_protocol::{
         control::HostState,
         passthrough::{Announcement, Beat, HostBrief, Life},
@@ -211,9 +211,8 @@
     #[must_use]
     pub fn briefs(
         &self,
-        now: Time,
         agent: &Announcement,
-        is_out: impl Fn(&DomainName) -> bool,
+        is_usable: impl Fn(&HostRecord) -> bool,
         limit: usize,
     ) -> Vec<HostBrief> {
         let Some(agents) = self.by_service.get(&agent.service) else {
@@ -228,7 +227,7 @@
             .map(|record| HostBrief {
                 agent: record.announcement.agent,
                 life: record.announcement.life,
-                accepts_new: self.accepts_new(now, record) && !is_out(&record.announcement.domain),
+                accepts_new: is_usable(record),
             })
             .collect()
     }
--- a/crates/coordination/src/passthrough/memory.rs
+++ b/crates/coordination/src/passthrough/memory.rs
@@ -47,18 +47,6 @@
         self.entries.insert(flow, (now, value));
     }
 
-    /// Returns the number of entries.
-    #[must_use]
-    pub fn len(&self) -> usize {
-        self.entries.len()
-    }
-
-    /// Tells whether there is no entry.
-    #[must_use]
-    pub fn is_empty(&self) -> bool {
-        self.entries.is_empty()
-    }
-
     fn sweep(&mut self, now: Time) {
         if now < self.next_sweep {
             return;
--- a/crates/coordination/src/passthrough/mod.rs
+++ b/crates/coordination/src/passthrough/mod.rs
@@ -12,7 +12,9 @@
 mod peers;
 mod placement;
 
-use cardamomloom_core::Span;
+use {
+    cardamomloom_core::Span, cardamomloom_protocol::passthrough::PeerMessage, std::net::Ipv4Addr,
+};
 
 pub use {
     catalogue::{CatalogueView, Lookup},
@@ -22,6 +24,28 @@
     placement::{flow_hash, rank},
 };
 
+/// A control message to send.
+#[derive(Clone, Debug)]
+pub struct Outgoing {
+    /// Address of the receiver.
+    pub to: Ipv4Addr,
+    /// The message.
+    pub message: PeerMessage,
+}
+
+impl Outgoing {
+    /// Returns the same message to each receiver.
+    fn to_each(
+        receivers: impl IntoIterator<Item = Ipv4Addr>,
+        message: &PeerMessage,
+    ) -> impl Iterator<Item = Self> {
+        receivers.into_iter().map(|to| Self {
+            to,
+            message: message.clone(),
+        })
+    }
+}
+
 /// Returns the interval at which a process repeats a message to all `receivers`: `least`, or longer
 /// so that it sends no more than `messages_per_s`.
 fn paced_interval(least: Span, receivers: usize, messages_per_s: u64) -> Span {
--- a/crates/coordination/src/passthrough/peers.rs
+++ b/crates/coordination/src/passthrough/peers.rs
@@ -79,6 +79,15 @@
         true
     }
 
+    /// Adds balancers that may exist; tells whether any is new.
+    pub fn add_all(&mut self, now: Time, balancers: impl IntoIterator<Item = Ipv4Addr>) -> bool {
+        let mut is_any_new = false;
+        for balancer in balancers {
+            is_any_new |= self.add(now, balancer);
+        }
+        is_any_new
+    }
+
     /// Takes over the sign of life of a balancer; returns the balancers that are new, the sender
     /// included.
     pub fn on_view(&mut self, now: Time, view: &BalancerView) -> Vec<Ipv4Addr> {
@@ -150,6 +159,14 @@
             .map(|(balancer, _)| *balancer)
     }
 
+    /// Returns the time of the next sign of life to all balancers: after `interval`, or after
+    /// `search_interval` while none is heard.
+    #[must_use]
+    pub fn next_sign(&self, now: Time, interval: Span, search_interval: Span) -> Time {
+        let is_alone = self.live(now).next().is_none();
+        now + if is_alone { search_interval } else { interval }
+    }
+
     /// Returns a live balancer that can answer a request for a snapshot, a different one for each
     /// `turn`.
     #[must_use]
--- a/crates/daemon/src/passthrough/agent.rs
+++ b/crates/daemon/src/passthrough/agent.rs
@@ -4,7 +4,7 @@
     super::{
         Result,
         decisions::LineBudget,
-        node::{Event, Shell, run_loop},
+        node::{Event, Shell, TICK, run_loop},
         sockets::{Outbox, Port},
     },
     crate::settings::{PassThroughAgentSettings, PassThroughSettings},
@@ -31,8 +31,6 @@
     tokio::sync::mpsc::Receiver,
 };
 
-const TICK: Duration = Duration::from_millis(50);
-
 /// Runs an agent until it is asked to stop and its flows have ended.
 pub async fn run(
     settings: &PassThroughSettings,
@@ -134,7 +132,8 @@
             Event::Catalogue(document) => self.agent.on_catalogue(document),
             Event::Standing(standing) => self.agent.on_standing(standing),
             Event::Registry(registrations) => {
-                self.agent.on_registry(now, &registrations);
+                let balancers = registrations.iter().map(|entry| entry.address);
+                self.agent.add_balancers(now, balancers);
                 self.announce(now);
             }
             Event::StoreConfirmed => self.agent.on_store_confirmed(now),
@@ -164,7 +163,7 @@
                 let _ = reply.send(true);
                 self.announce(now);
             }
-            Event::Seeds(seeds) => self.agent.on_seeds(now, &seeds),
+            Event::Seeds(seeds) => self.agent.add_balancers(now, seeds),
             Event::Stop => {
                 info!(event = "stopping"; "agent stops when its flows have ended");
                 self.agent.stop(now);
@@ -177,6 +176,7 @@
         let now = self.shell.clock.now();
         self.announce(now);
         self.update(now);
+        self.publish_metrics(now);
         if self.agent.may_end(now) {
             cx.stop();
             return;
@@ -269,9 +269,14 @@
         self.start_timer(cx, now);
     }
 
-    /// Brings reading, copying and metrics in line with the state.
+    /// Brings reading and copying in line with the state.
     fn update(&mut self, now: Time) {
         self.shell.is_ready.store(true, Ordering::Relaxed);
+        self.shell.set_reading(self.agent.should_read(now));
+        self.shell.copier.start(|| self.agent.snapshot_source());
+    }
+
+    fn publish_metrics(&mut self, now: Time) {
         let answer_times = metrics::histogram!("cardamomloom_answer_seconds");
         for span in self.agent.take_answer_times() {
             answer_times.record(span.to_duration());
@@ -285,12 +290,6 @@
             .absolute(answered);
         metrics::counter!("cardamomloom_outcomes_total", "outcome" => "failed").absolute(failed);
         metrics::gauge!("cardamomloom_admitted_share").set(outcomes.admitted_share(now));
-        self.shell.set_reading(self.agent.should_read(now));
-        if !self.shell.copier.is_busy()
-            && let Some(peer) = self.agent.snapshot_source(now)
-        {
-            self.shell.copier.start(peer);
-        }
     }
 }
 
@@ -308,11 +307,9 @@
             match action {
                 Action::Deliver => self.to_server.push(self.server, &[], packet),
                 Action::DeliverStored(packet) => self.to_server.push(self.server, &[], &packet),
-                Action::Answer => {
-                    if let Some(segment) = self.format.parse(packet) {
-                        let to = SocketAddrV4::new(*segment.destination.ip(), self.data_port);
-                        self.to_network.push(to, &[], packet);
-                    }
+                Action::Answer { caller } => {
+                    let to = SocketAddrV4::new(caller, self.data_port);
+                    self.to_network.push(to, &[], packet);
                 }
                 Action::Relay { to, header } => self.relay(to, &header, packet),
                 Action::RelayStored { to, header, packet } => self.relay(to, &header, &packet),
@@ -337,7 +334,7 @@
     /// Logs a decision: all that a caller feels, and samples of the usual path.
     fn log(&mut self, now: Time, action: &Action, packet: &[u8]) {
         let budget = match action {
-            Action::Answer | Action::Inform { .. } => return,
+            Action::Answer { .. } | Action::Inform { .. } => return,
             // A search reaches every agent of a service, and at most one owns the flow.
             Action::Deliver | Action::DeliverStored(_) | Action::Drop(DropReason::NotOwner) => {
                 &mut self.samples
@@ -373,7 +370,7 @@
                 event = "packet_dropped", flow, opens, cause = reason.label();
                 "packet is dropped"
             ),
-            Action::Answer | Action::Inform { .. } => {}
+            Action::Answer { .. } | Action::Inform { .. } => {}
         }
     }
 
--- a/crates/daemon/src/passthrough/balancer.rs
+++ b/crates/daemon/src/passthrough/balancer.rs
@@ -4,13 +4,14 @@
     super::{
         Result,
         decisions::LineBudget,
-        node::{Event, Shell, run_loop},
+        node::{Event, Shell, TICK, run_loop},
         registry,
         sockets::Outbox,
     },
     crate::settings::PassThroughSettings,
-    cardamomloom_coordination::passthrough::balancer::{
-        Balancer, BalancerOptions, DropReason, EarlyPackets, Outgoing, Verdict,
+    cardamomloom_coordination::passthrough::{
+        Outgoing,
+        balancer::{Balancer, BalancerOptions, DropReason, EarlyPackets, Verdict},
     },
     cardamomloom_core::{Span, Time},
     cardamomloom_platform::packet::PlatformPackets,
@@ -30,8 +31,6 @@
     tokio::sync::mpsc::Receiver,
 };
 
-const TICK: Duration = Duration::from_millis(50);
-
 /// Runs a balancer until it is asked to stop.
 pub async fn run(
     settings: &PassThroughSettings,
@@ -137,7 +136,7 @@
             Event::StatusRequest(reply) => {
                 let _ = reply.send(self.status(now));
             }
-            Event::Seeds(seeds) => self.balancer.on_seeds(now, &seeds),
+            Event::Seeds(seeds) => self.balancer.add_balancers(now, seeds),
             Event::Stop => self.stop(cx, now),
             Event::ServerPacketsReady | Event::Report(..) | Event::Departure(..) => {}
         }
@@ -265,11 +264,9 @@
             self.shell.is_ready.store(is_ready, Ordering::Relaxed);
         }
         self.shell.set_reading(self.balancer.should_read(now));
-        if !self.shell.copier.is_busy()
-            && let Some(peer) = self.balancer.snapshot_source(now)
-        {
-            self.shell.copier.start(peer);
-        }
+        self.shell
+            .copier
+            .start(|| self.balancer.snapshot_source(now));
     }
 
     /// Returns the status document, with the field names of the delivery by termination.
--- a/crates/daemon/src/passthrough/node.rs
+++ b/crates/daemon/src/passthrough/node.rs
@@ -7,7 +7,7 @@
         store_reader::{ReadMode, StoreReader},
     },
     crate::settings::{AnySettings, PassThroughRole, PassThroughSettings, load},
-    cardamomloom_coordination::passthrough::balancer::Outgoing,
+    cardamomloom_coordination::passthrough::Outgoing,
     cardamomloom_core::error::{Error, io},
     cardamomloom_platform::store::ObjectStore,
     cardamomloom_protocol::{
@@ -36,6 +36,9 @@
 /// Events that may wait for the actor; later ones are dropped and repeated by their senders.
 const EVENT_QUEUE: usize = 1_024;
 
+/// Interval at which an actor does what is due.
+pub const TICK: Duration = Duration::from_millis(50);
+
 /// Longest wait of the loop, so that it sees a pause of the process.
 const MAX_WAIT: Duration = Duration::from_millis(100);
 
@@ -254,13 +257,12 @@
         self.is_busy = false;
     }
 
-    /// Tells whether a copy is under way.
-    pub const fn is_busy(&self) -> bool {
-        self.is_busy
-    }
-
-    /// Begins to copy from a peer.
-    pub fn start(&mut self, peer: Ipv4Addr) {
+    /// Begins to copy from the peer that `source` names, unless a copy is under way.
+    pub fn start(&mut self, source: impl FnOnce() -> Option<Ipv4Addr>) {
+        if self.is_busy {
+            return;
+        }
+        let Some(peer) = source() else { return };
         self.is_busy = true;
         let request = self
             .client
--- a/crates/protocol/src/passthrough/segment.rs
+++ b/crates/protocol/src/passthrough/segment.rs
@@ -95,6 +95,12 @@
         }
     }
 
+    /// Returns the data of the packet that this is the header of.
+    #[must_use]
+    pub fn payload<'a>(&self, packet: &'a [u8]) -> &'a [u8] {
+        &packet[packet.len() - usize::from(self.payload_bytes)..]
+    }
+
     /// Tells whether this packet opens a flow.
     #[must_use]
     pub const fn is_opening(&self) -> bool {
--- a/crates/standins/src/passthrough/world/events.rs
+++ b/crates/standins/src/passthrough/world/events.rs
@@ -6,9 +6,7 @@
         REPORT_INTERVAL, TICK, Taken, World, server_address, service_name, service_route,
     },
     cardamomloom_coordination::passthrough::{
-        agent::Action,
-        balancer::{Outgoing, Verdict},
-        flow_hash,
+        Outgoing, agent::Action, balancer::Verdict, flow_hash,
     },
     cardamomloom_core::{Span, Time},
     cardamomloom_protocol::{
@@ -140,11 +138,7 @@
             return;
         };
         let was_open = caller.is_open();
-        let replies = caller.on_packet(
-            self.now,
-            &segment,
-            &packet[packet.len() - usize::from(segment.payload_bytes)..],
-        );
+        let replies = caller.on_packet(self.now, &segment, segment.payload(packet));
         let (due, is_done) = (caller.due(), caller.outcome().is_some());
         if segment.flags.is_rst && was_open {
             let is_held = self
@@ -154,11 +148,7 @@
             self.oracle.on_reset(self.now, flow, is_held);
         }
         self.send_from_caller(replies);
-        if is_done {
-            self.finish(flow);
-        } else {
-            self.schedule_at(due, Event::CallerTimer(flow));
-        }
+        self.after_caller(flow, due, is_done);
     }
 
     fn on_caller_timer(&mut self, flow: FlowId) {
@@ -171,14 +161,14 @@
         let packets = caller.on_timer(self.now);
         let (due, is_done) = (caller.due(), caller.outcome().is_some());
         self.send_from_caller(packets);
-        if is_done {
-            self.finish(flow);
-        } else {
-            self.schedule_at(due, Event::CallerTimer(flow));
-        }
+        self.after_caller(flow, due, is_done);
     }
 
-    fn finish(&mut self, flow: FlowId) {
+    fn after_caller(&mut self, flow: FlowId, due: Time, is_done: bool) {
+        if !is_done {
+            self.schedule_at(due, Event::CallerTimer(flow));
+            return;
+        }
         if let Some(caller) = self.callers.remove(&flow)
             && let Some(outcome) = caller.outcome()
         {
@@ -227,7 +217,7 @@
                 process.core.on_standing(self.standing.clone());
                 process.core.on_store_confirmed(now);
             }
-            source = process.core.snapshot_source(now);
+            source = process.core.snapshot_source();
         }
         self.send_control(address, outgoing);
         self.copy(address, source);
@@ -300,7 +290,7 @@
             match action {
                 Action::Deliver => self.at_server(agent, packet),
                 Action::DeliverStored(packet) => self.at_server(agent, &packet),
-                Action::Answer => self.send(Event::ToCaller(packet.to_vec())),
+                Action::Answer { .. } => self.send(Event::ToCaller(packet.to_vec())),
                 Action::Relay { to, header } => {
                     self.send(Event::ToAgent(to, header, packet.to_vec()));
                 }
@@ -327,8 +317,9 @@
         let Some(segment) = PlainPackets.parse(packet) else {
             return;
         };
-        let payload = &packet[packet.len() - usize::from(segment.payload_bytes)..];
-        let replies = server.model.on_packet(self.now, &segment, payload);
+        let replies = server
+            .model
+            .on_packet(self.now, &segment, segment.payload(packet));
         let taken = std::mem::take(&mut server.model.taken);
         let due = server.model.next_due();
         let cold = server.started > Time::ZERO
