--- a/crates/standins/src/passthrough/mod.rs
+++ b/crates/standins/src/passthrough/mod.rs
@@ -4,6 +4,7 @@
 mod caller;
 mod format;
 mod host;
+mod names;
 mod oracle;
 mod world;
 
@@ -11,6 +12,7 @@
     caller::{Caller, CallerOptions, CallerOutcome},
     format::PlainPackets,
     host::{HostModel, HostOptions, Taken},
+    names::{domain_name, route, service_name},
     oracle::{Oracle, Tally, Violation},
     world::{Load, World, WorldOptions},
 };
--- a/crates/standins/src/passthrough/world/layout.rs
+++ b/crates/standins/src/passthrough/world/layout.rs
@@ -1,11 +1,8 @@
 //! Names and addresses of a world, and its catalogue.
 
 use {
-    super::WorldOptions,
-    cardamomloom_core::{DomainName, ServiceName},
-    cardamomloom_protocol::passthrough::{
-        CatalogueDocument, CatalogueVersion, RouteEntry, RouteTarget, ServiceEntry,
-    },
+    super::{WorldOptions, route, service_name},
+    cardamomloom_protocol::passthrough::{CatalogueDocument, CatalogueVersion, ServiceEntry},
     std::net::{Ipv4Addr, SocketAddrV4},
 };
 
@@ -25,27 +22,6 @@
     SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, service + 1), 443)
 }
 
-pub(super) fn service_name(service: u8) -> ServiceName {
-    format!("service-{service}").parse().expect("valid name")
-}
-
-pub(super) fn domain_name(index: u8) -> DomainName {
-    format!("domain-{index}").parse().expect("valid name")
-}
-
-pub(super) fn route(address: SocketAddrV4, service: u8) -> RouteEntry {
-    RouteEntry {
-        name: address.to_string().into(),
-        address,
-        targets: vec![RouteTarget {
-            service: service_name(service),
-            weight: 1,
-        }],
-        is_idempotent: true,
-        priority: 1,
-    }
-}
-
 pub(super) fn document(options: &WorldOptions) -> CatalogueDocument {
     CatalogueDocument {
         version: CatalogueVersion(1),
--- a/crates/standins/src/passthrough/world/mod.rs
+++ b/crates/standins/src/passthrough/world/mod.rs
@@ -8,7 +8,7 @@
 use {
     super::{
         Caller, CallerOptions, CallerOutcome, HostModel, HostOptions, Oracle, PlainPackets, Taken,
-        Tally, Violation,
+        Tally, Violation, domain_name, route, service_name,
     },
     cardamomloom_coordination::passthrough::{
         agent::{Agent, AgentOptions},
@@ -19,10 +19,7 @@
         CatalogueDocument, FlowId, HostReportState, PeerMessage, RelayHeader, StoreRevision,
         ZoneStanding,
     },
-    layout::{
-        agent_address, balancer_address, document, domain_name, route, server_address,
-        service_name, service_route,
-    },
+    layout::{agent_address, balancer_address, document, server_address, service_route},
     rand::{RngExt, SeedableRng},
     rand_chacha::ChaCha8Rng,
     std::{
@@ -236,7 +233,7 @@
     /// Returns the openings that each backend server of a service took.
     #[must_use]
     pub fn openings(&self, service: u8) -> Vec<usize> {
-        let agents = (0..self.options.hosts).map(|index| agent_address(service, index));
+        let agents = self.agents(service).into_iter();
         agents.map(|agent| self.oracle.openings_at(agent)).collect()
     }
 
