Reset flows that no host holds any more

Cause: after a loss of power the next request on a long flow is looked up among the agents of the service; all of them stay silent, and the caller waits until its deadline. Change: an agent that is asked for a flow which its host does not hold says so. When all agents have, the agent that looks the flow up resets it. A flow whose address had another target is never reset.

--- a/crates/coordination/src/passthrough/agent/control.rs
+++ b/crates/coordination/src/passthrough/agent/control.rs
@@ -8,7 +8,7 @@
         control::HostState,
         passthrough::{
             AgentHeartbeat, Announcement, BalancerHeartbeat, CatalogueDocument, DomainStatus,
-            HostListDigest, HostReport, PeerMessage, Snapshot,
+            HostAdvertisement, HostListDigest, HostReport, PeerMessage, Snapshot,
         },
     },
     log::{info, warn},
@@ -22,6 +22,13 @@
 /// Admitted share of new flows below which the log reports that the backend server fails requests.
 const FAILING_ADMITTED_SHARE: f64 = 0.5;
 
+/// Sequence number up to which a report shows that its backend server started a few seconds ago.
+const MAX_NEW_RUN_SEQUENCE: u64 = 4;
+
+fn is_new_run(report: &HostReport) -> bool {
+    report.sequence <= MAX_NEW_RUN_SEQUENCE
+}
+
 #[derive(Debug, Default)]
 pub(super) struct ControlState {
     next_announcement: Time,
@@ -29,6 +36,10 @@
     last_announcement: Option<Announcement>,
     /// Time at which the announced state last changed.
     last_change: Time,
+    /// Time at which a list of hosts last named other agents than the list before.
+    pub agents_changed_at: Time,
+    /// Time of the last heartbeat of a balancer.
+    pub last_balancer_contact: Option<Time>,
     /// Digest of the hosts of the service that the agent knows.
     hosts_digest: HostListDigest,
     stopping_since: Option<Time>,
@@ -60,6 +71,7 @@
             self.host = Some(Host::new(now, report));
             // The first report of a run shows that no flow is older than this process.
             self.observed_server_start = report.sequence <= 1;
+            self.new_server_reported_at = is_new_run(report).then_some(now);
             self.control.next_announcement = Time::ZERO;
             info!(event = "host_known", instance = &*report.instance, sequence = report.sequence, cold_left_ms = report.cold_left_ms; "first report of the backend server accepted");
             return true;
@@ -74,6 +86,7 @@
             }
             ReportOutcome::NewLife => {
                 self.observed_server_start = true;
+                self.new_server_reported_at = is_new_run(report).then_some(now);
                 self.cold_start_bucket = ColdStartBucket::empty(now);
                 self.outcomes.reset();
                 self.reset_flows(previous_report, actions);
@@ -129,14 +142,24 @@
         self.announcements(now)
     }
 
-    /// Processes a control message and returns the messages to send.
-    pub fn on_message(&mut self, now: Time, message: PeerMessage) -> Vec<OutgoingMessage> {
+    /// Processes a control message and returns the messages to send. Resets of flows that no host
+    /// holds are appended to `actions`.
+    pub fn on_message(
+        &mut self,
+        now: Time,
+        message: PeerMessage,
+        actions: &mut Vec<Action>,
+    ) -> Vec<OutgoingMessage> {
         match message {
             PeerMessage::BalancerHeartbeat(heartbeat) => self.on_balancer_heartbeat(now, heartbeat),
             PeerMessage::Owner(owner) => {
                 self.on_owner(now, owner.flow, owner.agent);
                 Vec::new()
             }
+            PeerMessage::Absence(absence) => {
+                self.on_absence(now, &absence, actions);
+                Vec::new()
+            }
             PeerMessage::Announcement(_) | PeerMessage::Heartbeat(_) => Vec::new(),
         }
     }
@@ -229,6 +252,7 @@
         heartbeat: BalancerHeartbeat,
     ) -> Vec<OutgoingMessage> {
         let added = self.peers.on_heartbeat(now, &heartbeat);
+        self.control.last_balancer_contact = Some(now);
         if self.catalogue.compare_with_balancer(now, &heartbeat) {
             self.control.newer_balancer = Some(heartbeat.balancer);
         }
@@ -237,8 +261,20 @@
         }
         if !heartbeat.hosts.is_empty() {
             self.control.hosts_digest = HostListDigest::of(&heartbeat.hosts);
+            let agents = |hosts: &[HostAdvertisement]| -> Vec<Ipv4Addr> {
+                hosts.iter().map(|host| host.agent).collect()
+            };
+            if agents(&heartbeat.hosts) != agents(&self.service_hosts) {
+                self.control.agents_changed_at = now;
+            }
             self.service_hosts = heartbeat.hosts;
         }
+        // An answer without a list confirms the present one.
+        let retention = self.options.agent_retention;
+        self.agents_listed_at
+            .retain(|_, listed_at| now.since(*listed_at) <= retention);
+        let listed_agents = self.service_hosts.iter().map(|host| (host.agent, now));
+        self.agents_listed_at.extend(listed_agents);
         let mut receivers = added;
         if heartbeat.wants_answer && !receivers.contains(&heartbeat.balancer) {
             receivers.push(heartbeat.balancer);
@@ -302,7 +338,7 @@
             .collect()
     }
 
-    fn announcement_interval(&self) -> Span {
+    pub(super) fn announcement_interval(&self) -> Span {
         let options = &self.options;
         paced_interval(
             options.announcement_interval,
--- a/crates/coordination/src/passthrough/agent/flows.rs
+++ b/crates/coordination/src/passthrough/agent/flows.rs
@@ -24,7 +24,13 @@
     },
     /// A packet of an unknown flow was delivered, to find out whether the backend server holds the
     /// flow.
-    Probing,
+    Probing {
+        /// Acknowledgment number of the packet.
+        acknowledgment: u32,
+        /// Agent that looks up the owner, and is told when the backend server does not hold the
+        /// flow.
+        searcher: Ipv4Addr,
+    },
     /// The backend server answered.
     Open,
     /// Both ends have closed the flow, or one has reset it.
--- a/crates/coordination/src/passthrough/agent/mod.rs
+++ b/crates/coordination/src/passthrough/agent/mod.rs
@@ -5,6 +5,7 @@
 mod control;
 mod flows;
 mod host;
+mod lookup;
 mod options;
 mod outcomes;
 mod segments;
@@ -21,15 +22,16 @@
     super::{CatalogueView, FlowCache, PeerDirectory},
     cardamomloom_core::{DomainName, ServiceName, Span, Time},
     cardamomloom_protocol::passthrough::{
-        FlowId, HostAdvertisement, HostReportState, RelayHeader, RelayKind, RunId, Segment,
-        ServiceTag,
+        FlowAbsence, FlowId, HostAdvertisement, HostReportState, RelayHeader, RelayKind, RunId,
+        Segment, ServiceTag,
     },
     flows::{FlowTable, LocalFlow, Phase},
     host::{ColdStartBucket, Host},
+    lookup::OwnerLookups,
     outcomes::outcome_of,
     segments::previous_hops,
     std::{
-        collections::VecDeque,
+        collections::{BTreeMap, VecDeque},
         net::{Ipv4Addr, SocketAddrV4},
     },
 };
@@ -113,7 +115,14 @@
         /// The flow.
         flow: FlowId,
     },
-    /// Sends a reset to the caller of a flow that the backend server no longer holds.
+    /// Informs the agent that looks up a flow that this host does not hold it.
+    ReportAbsence {
+        /// Address of the agent.
+        to: Ipv4Addr,
+        /// The statement.
+        absence: FlowAbsence,
+    },
+    /// Sends a reset to the caller of a flow that no backend server holds any more.
     Reset {
         /// The flow.
         flow: FlowId,
@@ -136,6 +145,9 @@
     host: Option<Host>,
     /// Whether the current run of the backend server began while this process was running.
     observed_server_start: bool,
+    /// Time of the first report of the current run of the backend server that this process got, if
+    /// it was one of the first reports of the run.
+    new_server_reported_at: Option<Time>,
     cold_start_bucket: ColdStartBucket,
     flows: FlowTable,
     /// Deadlines for the answers to delivered SYNs, in the order of their delivery.
@@ -149,8 +161,11 @@
     outcomes: OutcomeTracker,
     /// Agents that own flows of other hosts.
     owner_cache: FlowCache<Ipv4Addr>,
+    lookups: OwnerLookups,
     /// Hosts of the service that a balancer listed last.
     service_hosts: Vec<HostAdvertisement>,
+    /// Time at which each agent of the service was last listed; kept for a while after it is not.
+    agents_listed_at: BTreeMap<Ipv4Addr, Time>,
     /// Times from a SYN or a request to the first data of the response.
     response_times: Vec<Span>,
     control: control::ControlState,
@@ -174,6 +189,7 @@
             peers,
             host: None,
             observed_server_start: false,
+            new_server_reported_at: None,
             cold_start_bucket: ColdStartBucket::empty(now),
             flows: FlowTable::default(),
             syn_deadlines: VecDeque::new(),
@@ -182,7 +198,9 @@
             syn_queue: SynQueue::new(options.syn_queue_capacity),
             outcomes: OutcomeTracker::new(options.outcomes),
             owner_cache: FlowCache::new(options.owner_cache_capacity, options.owner_cache_ttl),
+            lookups: OwnerLookups::default(),
             service_hosts: Vec::new(),
+            agents_listed_at: BTreeMap::new(),
             response_times: Vec::new(),
             control: control::ControlState::default(),
             identity,
@@ -226,12 +244,13 @@
         let is_known = self
             .flows
             .get(&flow)
-            .is_some_and(|entry| !matches!(entry.phase, Phase::Probing));
+            .is_some_and(|entry| !matches!(entry.phase, Phase::Probing { .. }));
         // A backend server that is starting resets the packets of flows that it does not hold. Such
         // a flow may be open at another host, so the reset must not reach the caller.
         if segment.flags.is_rst && !is_known {
-            self.flows.remove(&flow);
+            let removed = self.flows.remove(&flow);
             actions.push(Action::Drop(DropReason::UnknownFlow));
+            self.report_failed_probe(now, flow, removed.as_ref(), actions);
             return;
         }
         if self.flows.get(&flow).is_none() {
@@ -251,7 +270,10 @@
                     self.outcomes.record(now, outcome);
                 }
             }
-            if matches!(entry.phase, Phase::SynDelivered { .. } | Phase::Probing) {
+            if matches!(
+                entry.phase,
+                Phase::SynDelivered { .. } | Phase::Probing { .. }
+            ) {
                 entry.phase = Phase::Open;
             }
             close_if_finished(entry, segment);
@@ -288,6 +310,7 @@
 
     /// Caches the owner of a flow of another host.
     pub fn on_owner(&mut self, now: Time, flow: FlowId, agent: Ipv4Addr) {
+        self.lookups.cancel(&flow);
         if agent != self.identity.address {
             self.owner_cache.insert(now, flow, agent);
         }
@@ -379,6 +402,24 @@
         actions.push(Action::Deliver);
     }
 
+    /// Informs the agent that looks up a flow when the backend server rejected the packet that was
+    /// delivered to find out whether it holds the flow.
+    fn report_failed_probe(
+        &mut self,
+        now: Time,
+        flow: FlowId,
+        entry: Option<&LocalFlow>,
+        actions: &mut Vec<Action>,
+    ) {
+        if let Some(Phase::Probing {
+            acknowledgment,
+            searcher,
+        }) = entry.map(|entry| &entry.phase)
+        {
+            self.report_absence(now, flow, *acknowledgment, *searcher, actions);
+        }
+    }
+
     /// Appends the actions for a packet that the backend server returned. A SYN is relayed to
     /// another host; for a packet of an open flow the caller gets a reset.
     fn on_returned_packet(
@@ -410,6 +451,7 @@
             }
             return;
         }
+        self.report_failed_probe(now, flow, Some(&entry), actions);
         let was_open = matches!(entry.phase, Phase::Open) && entry.caller_acknowledgment.is_some();
         if was_open && segment.flags.is_ack && !segment.flags.is_rst {
             let is_recent = now.since(entry.last_used) <= self.options.report_timeout;
--- a/crates/coordination/src/passthrough/agent/segments.rs
+++ b/crates/coordination/src/passthrough/agent/segments.rs
@@ -2,10 +2,16 @@
 //! lookup among the other agents.
 
 use {
-    super::{Action, Agent, DropReason, LocalFlow, Outcome, Phase, close_if_finished},
-    cardamomloom_core::Time,
-    cardamomloom_protocol::passthrough::{FlowId, RelayHeader, RelayKind, RunId, Segment},
-    std::net::Ipv4Addr,
+    super::{
+        Action, Agent, DropReason, LocalFlow, Outcome, Phase, close_if_finished,
+        lookup::LookupQuery,
+    },
+    crate::passthrough::MAX_ADVERTISEMENTS,
+    cardamomloom_core::{Span, Time},
+    cardamomloom_protocol::passthrough::{
+        AgentSetDigest, FlowAbsence, FlowId, RelayHeader, RelayKind, RunId, Segment,
+    },
+    std::{collections::BTreeSet, net::Ipv4Addr},
 };
 
 impl Agent {
@@ -46,7 +52,7 @@
             }
             return;
         }
-        self.look_up_owner(now, header, &flow, actions);
+        self.look_up_owner(now, header, segment, actions);
     }
 
     /// Relays a packet of an unknown flow to the cached owner, or to all other known agents of the
@@ -56,20 +62,28 @@
         &mut self,
         now: Time,
         header: &RelayHeader,
-        flow: &FlowId,
+        segment: &Segment,
         actions: &mut Vec<Action>,
     ) {
+        let flow = &segment.flow_from_caller();
         let previous_len = actions.len();
+        let own_address = self.identity.address;
+        let searcher = header.visited().last().copied().unwrap_or(own_address);
+        let phase = Phase::Probing {
+            acknowledgment: segment.acknowledgment,
+            searcher,
+        };
         if self.may_hold_unknown_flows(now) && self.flows.get(flow).is_none() {
-            let mut entry = LocalFlow::new(now, Phase::Probing);
+            let mut entry = LocalFlow::new(now, phase);
             entry.owner_notice_receivers = previous_hops(header);
             self.flows.insert(*flow, entry);
             actions.push(Action::Deliver);
         } else if self
             .flows
             .get(flow)
-            .is_some_and(|entry| matches!(entry.phase, Phase::Probing))
+            .is_some_and(|entry| matches!(entry.phase, Phase::Probing { .. }))
         {
+            self.flows.update(flow, |entry| entry.phase = phase);
             actions.push(Action::Deliver);
         }
         if header.kind == RelayKind::Forward
@@ -77,7 +91,24 @@
                 header.relayed_by(self.identity.address, RelayKind::Search, RunId::default())
         {
             let cached_owner = self.owner_cache.touch(now, flow).copied();
-            let own_address = self.identity.address;
+            if cached_owner.is_none()
+                && segment.payload_bytes > 0
+                && self.may_reset_unknown(now, flow)
+            {
+                let query = LookupQuery {
+                    flow: *flow,
+                    acknowledgment: segment.acknowledgment,
+                    known_agents: self.known_agents(),
+                    asked_agents: self
+                        .agents_listed_at
+                        .keys()
+                        .copied()
+                        .chain([own_address])
+                        .collect(),
+                    requires_new_servers: now.since(self.started) <= self.options.agent_retention,
+                };
+                self.lookups.start(now, query);
+            }
             let all_agents = self.service_hosts.iter().map(|host| host.agent);
             let receivers = cached_owner
                 .map_or_else(|| all_agents.collect(), |owner| vec![owner])
@@ -85,6 +116,9 @@
                 .filter(|agent| *agent != own_address);
             actions.extend(receivers.map(|to| Action::Relay { to, header }));
         }
+        if segment.payload_bytes > 0 && self.flows.get(flow).is_none() {
+            self.report_absence(now, *flow, segment.acknowledgment, searcher, actions);
+        }
         if actions.len() == previous_len {
             actions.push(Action::Drop(match header.kind {
                 RelayKind::Search => DropReason::NotOwner,
@@ -93,6 +127,75 @@
         }
     }
 
+    /// Processes the statement of an agent that its host does not hold a flow. When no host of the
+    /// service holds it, the reset of the flow is appended to `actions`.
+    pub fn on_absence(&mut self, now: Time, absence: &FlowAbsence, actions: &mut Vec<Action>) {
+        if self.owner_cache.touch(now, &absence.flow).copied() == Some(absence.agent) {
+            self.owner_cache.remove(&absence.flow);
+        }
+        actions.extend(self.lookups.on_absence(now, absence));
+    }
+
+    /// Appends the statement that this host does not hold a flow, for the agent that looks it up.
+    pub(super) fn report_absence(
+        &mut self,
+        now: Time,
+        flow: FlowId,
+        acknowledgment: u32,
+        searcher: Ipv4Addr,
+        actions: &mut Vec<Action>,
+    ) {
+        let own_address = self.identity.address;
+        let absence = FlowAbsence {
+            flow,
+            acknowledgment,
+            agent: own_address,
+            known_agents: self.known_agents(),
+            is_server_new: self
+                .new_server_reported_at
+                .is_some_and(|at| now.since(at) <= self.options.agent_retention),
+        };
+        if searcher == own_address {
+            self.on_absence(now, &absence, actions);
+        } else {
+            actions.push(Action::ReportAbsence {
+                to: searcher,
+                absence,
+            });
+        }
+    }
+
+    /// Returns the digest of the agents of the service that balancers list, and of this agent.
+    fn known_agents(&self) -> AgentSetDigest {
+        let agents = self.service_hosts.iter().map(|host| host.agent);
+        let distinct: BTreeSet<Ipv4Addr> = agents.chain([self.identity.address]).collect();
+        distinct.into_iter().collect()
+    }
+
+    /// Returns whether a flow may be reset when all known agents state that their hosts do not hold
+    /// it: this agent knows all agents of the service, and no other service can hold the flow.
+    ///
+    /// The list of agents must be complete, not longer than a heartbeat can carry, and unchanged for
+    /// as long as an agent may take to announce itself to restarted balancers.
+    fn may_reset_unknown(&self, now: Time, flow: &FlowId) -> bool {
+        let settle_span = self
+            .options
+            .min_settle_span
+            .max(Span(self.announcement_interval().0 * 2));
+        let is_recent = self
+            .control
+            .last_balancer_contact
+            .is_some_and(|at| now.since(at) <= settle_span);
+        is_recent
+            && now.since(self.started) >= settle_span
+            && now.since(self.control.agents_changed_at) >= settle_span
+            && !self.service_hosts.is_empty()
+            && self.service_hosts.len() < MAX_ADVERTISEMENTS
+            && self
+                .catalogue
+                .is_only_target(flow.service, &self.identity.service)
+    }
+
     /// Returns whether the backend server may hold flows that this process does not know, because
     /// they were opened before the process started.
     fn may_hold_unknown_flows(&self, now: Time) -> bool {
--- a/crates/coordination/src/passthrough/balancer/control.rs
+++ b/crates/coordination/src/passthrough/balancer/control.rs
@@ -2,7 +2,7 @@
 
 use {
     super::Balancer,
-    crate::passthrough::{OutgoingMessage, as_millis_u16, paced_interval},
+    crate::passthrough::{MAX_ADVERTISEMENTS, OutgoingMessage, as_millis_u16, paced_interval},
     cardamomloom_core::{DomainName, Span, Time},
     cardamomloom_protocol::passthrough::{
         AgentHeartbeat, Announcement, BalancerHeartbeat, CatalogueDocument, CatalogueVersion,
@@ -13,9 +13,6 @@
     std::net::Ipv4Addr,
 };
 
-/// Maximum number of hosts in a heartbeat to an agent, so that it fits a datagram.
-const MAX_ADVERTISEMENTS: usize = 64;
-
 /// Maximum number of balancers in a heartbeat, so that it fits a datagram. The list starts at
 /// another balancer each time, so that a receiver learns all of them.
 const MAX_BALANCERS: usize = 48;
@@ -106,6 +103,7 @@
                 self.on_owner(now, owner.flow, owner.agent);
                 Vec::new()
             }
+            PeerMessage::Absence(_) => Vec::new(),
         }
     }
 
--- a/crates/coordination/src/passthrough/catalogue.rs
+++ b/crates/coordination/src/passthrough/catalogue.rs
@@ -8,7 +8,10 @@
         ServiceEntry,
     },
     log::info,
-    std::{collections::HashMap, net::SocketAddrV4},
+    std::{
+        collections::{HashMap, HashSet},
+        net::SocketAddrV4,
+    },
 };
 
 /// Local replica of the catalogue and of the failure domains that are out of service.
@@ -17,6 +20,9 @@
     document: Option<CatalogueDocument>,
     /// Index of the route of each address in `document`.
     routes: HashMap<SocketAddrV4, usize>,
+    /// Addresses whose targets changed while this process ran, so that flows of their former targets
+    /// may still be open.
+    retargeted: HashSet<SocketAddrV4>,
     domain_status: Option<DomainStatus>,
     /// Latest time at which the store is known to have confirmed this replica.
     confirmed_at: Option<Time>,
@@ -40,10 +46,20 @@
         if self.document.is_some() && document.version <= self.version() {
             return false;
         }
+        for route in &document.routes {
+            let has_new_targets = self
+                .route(route.address)
+                .is_some_and(|previous| !has_same_targets(previous, route));
+            if has_new_targets {
+                self.retargeted.insert(route.address);
+            }
+        }
         self.routes = (0..)
             .zip(&document.routes)
             .map(|(index, route)| (route.address, index))
             .collect();
+        self.retargeted
+            .retain(|address| self.routes.contains_key(address));
         info!(event = "catalogue_in_force", version:% = document.version, routes = document.routes.len(); "catalogue is in force");
         self.document = Some(document);
         true
@@ -145,6 +161,19 @@
         })
     }
 
+    /// Returns whether `service` is the only service that can hold flows to an address: the route has
+    /// no other target, and had none while this process ran.
+    #[must_use]
+    pub fn is_only_target(&self, address: SocketAddrV4, service: &ServiceName) -> bool {
+        self.route(address).is_some_and(|route| {
+            route
+                .targets
+                .iter()
+                .all(|target| target.service == *service)
+                && !self.retargeted.contains(&address)
+        })
+    }
+
     /// Returns the priority of the route of an address under overload: 0 is served first, and an
     /// address without a route last.
     #[must_use]
@@ -174,6 +203,14 @@
     }
 }
 
+fn has_same_targets(first: &RouteEntry, second: &RouteEntry) -> bool {
+    let services = |route: &RouteEntry| -> HashSet<ServiceName> {
+        let targets = route.targets.iter();
+        targets.map(|target| target.service.clone()).collect()
+    };
+    services(first) == services(second)
+}
+
 /// Chooses a target of a route by the hash of the flow, in proportion to the weights. Returns
 /// `None` when no target has a positive weight.
 fn weighted_target<'a>(route: &'a RouteEntry, flow: &FlowId) -> Option<&'a ServiceName> {
--- a/crates/coordination/src/passthrough/flow_cache.rs
+++ b/crates/coordination/src/passthrough/flow_cache.rs
@@ -48,6 +48,11 @@
         self.entries.insert(flow, (now, value));
     }
 
+    /// Removes the value of a flow.
+    pub fn remove(&mut self, flow: &FlowId) {
+        self.entries.remove(flow);
+    }
+
     /// Removes expired entries, at most once in a quarter of the time to live.
     fn remove_expired(&mut self, now: Time) {
         if now < self.next_sweep {
--- a/crates/daemon/src/passthrough/agent.rs
+++ b/crates/daemon/src/passthrough/agent.rs
@@ -132,9 +132,10 @@
             Event::ServerPacketsReady => self.on_server_packets(now),
             Event::ControlReady => {
                 for message in self.runtime.control.receive(&mut self.received) {
-                    let answers = self.agent.on_message(now, message);
+                    let answers = self.agent.on_message(now, message, &mut self.actions);
                     self.runtime.control.send(answers);
                 }
+                self.execute_actions(now, &[]);
                 self.update_runtime(now);
             }
             Event::Catalogue(document) => self.agent.on_catalogue(document),
@@ -340,6 +341,7 @@
                         agent: *self.own_address.ip(),
                     },
                 ),
+                Action::ReportAbsence { to, absence } => control.send_absence(to, absence),
                 Action::Reset { flow, sequence } => {
                     metrics::counter!("cardamomloom_resets_total").increment(1);
                     let to = SocketAddrV4::new(*flow.caller.ip(), self.data_port);
@@ -356,7 +358,9 @@
     /// logged.
     fn log_action(&mut self, now: Time, action: &Action, packet: &[u8]) {
         let limiter = match action {
-            Action::ReturnToCaller { .. } | Action::AnnounceOwner { .. } => return,
+            Action::ReturnToCaller { .. }
+            | Action::AnnounceOwner { .. }
+            | Action::ReportAbsence { .. } => return,
             // An owner lookup reaches every agent of a service, and at most one owns the flow.
             Action::Deliver | Action::DeliverBuffered(_) | Action::Drop(DropReason::NotOwner) => {
                 &mut self.sample_log
@@ -391,13 +395,15 @@
             ),
             Action::Reset { flow, sequence } => info!(
                 event = "flow_reset", flow:%, sequence;
-                "reset sent to the caller: the backend server no longer has the flow"
+                "reset sent to the caller: no backend server has the flow any more"
             ),
             Action::Drop(reason) => info!(
                 event = "packet_dropped", flow, opens, cause = reason.label();
                 "packet dropped"
             ),
-            Action::ReturnToCaller { .. } | Action::AnnounceOwner { .. } => {}
+            Action::ReturnToCaller { .. }
+            | Action::AnnounceOwner { .. }
+            | Action::ReportAbsence { .. } => {}
         }
     }
 
--- a/crates/daemon/src/passthrough/node.rs
+++ b/crates/daemon/src/passthrough/node.rs
@@ -14,8 +14,8 @@
     cardamomloom_protocol::{
         forward::DatagramKey,
         passthrough::{
-            CatalogueDocument, DomainStatus, FlowOwner, HostReport, PeerMessage, Registration,
-            Snapshot, open, seal,
+            CatalogueDocument, DomainStatus, FlowAbsence, FlowOwner, HostReport, PeerMessage,
+            Registration, Snapshot, open, seal,
         },
     },
     cardamomloom_transport::{clock::MonotonicClock, udp::ReceiveBatch},
@@ -242,6 +242,14 @@
             message: PeerMessage::Owner(owner),
         }]);
     }
+
+    /// Informs an agent that the host of this agent does not hold a flow.
+    pub fn send_absence(&self, to: Ipv4Addr, absence: FlowAbsence) {
+        self.send(vec![OutgoingMessage {
+            to,
+            message: PeerMessage::Absence(absence),
+        }]);
+    }
 }
 
 /// Fetches snapshots over HTTP, from one peer at a time.
--- a/crates/protocol/src/passthrough/message.rs
+++ b/crates/protocol/src/passthrough/message.rs
@@ -78,6 +78,40 @@
     }
 }
 
+/// Digest of a set of agents, independent of their order; equal digests show that two agents know
+/// the same agents of their service.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct AgentSetDigest(pub u32);
+
+impl FromIterator<Ipv4Addr> for AgentSetDigest {
+    fn from_iter<T: IntoIterator<Item = Ipv4Addr>>(agents: T) -> Self {
+        let sum = agents.into_iter().fold(0_u32, |sum, agent| {
+            let mut hasher = SipHasher24::new();
+            agent.hash(&mut hasher);
+            let [.., a, b, c, d] = hasher.finish().to_be_bytes();
+            sum.wrapping_add(u32::from_be_bytes([a, b, c, d]))
+        });
+        Self(sum)
+    }
+}
+
+impl fmt::Display for AgentSetDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:08x}", self.0)
+    }
+}
+
+impl FromStr for AgentSetDigest {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> std::result::Result<Self, Self::Err> {
+        u32::from_str_radix(text, 16).map(Self)
+    }
+}
+
 /// State of a host. Its agent sends an announcement after each change, and to balancers that lack
 /// it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -175,6 +209,22 @@
     pub agent: Ipv4Addr,
 }
 
+/// States that a host does not hold a flow, and never will under this handshake.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FlowAbsence {
+    /// Flow that is looked up.
+    pub flow: FlowId,
+    /// Acknowledgment number of the packet that is looked up. It tells flows apart that use the same
+    /// addresses and ports one after the other.
+    pub acknowledgment: u32,
+    /// Address of the agent that does not hold the flow.
+    pub agent: Ipv4Addr,
+    /// Agents of the service that this agent knows.
+    pub known_agents: AgentSetDigest,
+    /// Whether the backend server started a short time ago.
+    pub is_server_new: bool,
+}
+
 /// Control message between balancers and agents.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PeerMessage {
@@ -186,6 +236,9 @@
     Owner(FlowOwner),
     /// Shows that an agent is alive and its host unchanged; sent to a balancer.
     Heartbeat(AgentHeartbeat),
+    /// States that a host does not hold a flow; sent by its agent to the agent that looks up the
+    /// owner.
+    Absence(FlowAbsence),
 }
 
 /// State that a balancer serves to processes that are starting or lag behind.
--- a/crates/protocol/src/passthrough/mod.rs
+++ b/crates/protocol/src/passthrough/mod.rs
@@ -13,8 +13,8 @@
     },
     header::{LeastLoaded, MAX_VISITED, RELAY_HEADER_BYTES, RelayHeader, RelayKind, ServiceTag},
     message::{
-        AgentHeartbeat, Announcement, BalancerHeartbeat, FlowOwner, HostAdvertisement,
-        HostListDigest, PeerMessage, RunId, Snapshot, open, seal,
+        AgentHeartbeat, AgentSetDigest, Announcement, BalancerHeartbeat, FlowAbsence, FlowOwner,
+        HostAdvertisement, HostListDigest, PeerMessage, RunId, Snapshot, open, seal,
     },
     segment::{FlowId, PacketFormat, Segment, SegmentFlags},
 };
--- a/crates/standins/src/passthrough/simulation/events.rs
+++ b/crates/standins/src/passthrough/simulation/events.rs
@@ -132,7 +132,9 @@
             let answers = process.core.on_message(self.now, message);
             self.send_control(to, answers);
         } else if let Some(process) = self.agents.get_mut(&to).filter(|process| process.is_up) {
-            let answers = process.core.on_message(self.now, message);
+            let mut actions = Vec::new();
+            let answers = process.core.on_message(self.now, message, &mut actions);
+            self.execute(to, actions, &[]);
             self.send_control(to, answers);
         }
     }
@@ -319,6 +321,9 @@
                     let owner = FlowOwner { flow, agent };
                     self.send(Event::ControlMessage(to, PeerMessage::Owner(owner)));
                 }
+                Action::ReportAbsence { to, absence } => {
+                    self.send(Event::ControlMessage(to, PeerMessage::Absence(absence)));
+                }
                 Action::Reset { flow, sequence } => {
                     let reset = Segment::reset(&flow, sequence);
                     self.send(Event::ToCaller(TestPacketFormat.encode(&reset, &[])));
