Prove by a refused connection that no backend server runs, and announce exits without flows

Cause: after a loss of power agents run whose backend server has left before. When such an agent exits it stays in the lists of balancers for 20 s and blocks the proof again. Change: an agent connects once to the port of its backend server at its start, and while the server is suspected and holds flows; a refusal proves that the flows of earlier runs are lost. An agent that exits and certainly holds no flow announces that to balancers and to the agents of its service.

--- a/crates/coordination/src/passthrough/agent/control.rs
+++ b/crates/coordination/src/passthrough/agent/control.rs
@@ -7,8 +7,8 @@
     cardamomloom_protocol::{
         control::HostState,
         passthrough::{
-            AgentHeartbeat, Announcement, BalancerHeartbeat, CatalogueDocument, DomainStatus,
-            HostAdvertisement, HostListDigest, HostReport, PeerMessage, Snapshot,
+            AgentDeparture, AgentHeartbeat, Announcement, BalancerHeartbeat, CatalogueDocument,
+            DomainStatus, HostAdvertisement, HostListDigest, HostReport, PeerMessage, Snapshot,
         },
     },
     log::{info, warn},
@@ -110,6 +110,42 @@
         }
     }
 
+    /// Returns whether the process should check now whether the backend server runs at all: once after
+    /// the start, and then periodically while it is suspected. A check that is refused proves that
+    /// the flows of an earlier run are lost.
+    pub fn should_check_server(&mut self, now: Time) -> bool {
+        let is_due = match self.server_checked_at {
+            None => true,
+            Some(at) => {
+                self.is_suspected(now)
+                    && self.flows.active() > 0
+                    && now.since(at) >= self.options.server_check_interval
+            }
+        };
+        if is_due {
+            self.server_checked_at = Some(now);
+        }
+        is_due
+    }
+
+    /// Processes the proof that no backend server ran at `asked_at`, because its port refused a
+    /// connection. Resets of the flows that were opened before are appended to `actions`, and the
+    /// host accepts no new ones until the next report. A backend server that has reported since runs
+    /// again; its own reports are then decisive.
+    pub fn on_server_absent(&mut self, asked_at: Time, actions: &mut Vec<Action>) {
+        self.observed_server_start = true;
+        if self
+            .host
+            .as_ref()
+            .is_some_and(|host| host.last_report >= asked_at)
+        {
+            return;
+        }
+        self.absent_server_at = Some(asked_at);
+        self.awaits_report |= self.host.is_some();
+        self.reset_flows(asked_at, actions);
+    }
+
     /// Processes expired timers: when the state of the host changed or the interval has elapsed,
     /// removes expired flows and balancers and returns the announcements to send.
     pub fn on_tick(&mut self, now: Time) -> Vec<OutgoingMessage> {
@@ -160,6 +196,12 @@
                 self.on_absence(now, &absence, actions);
                 Vec::new()
             }
+            PeerMessage::Departure(departure) => {
+                self.agents_listed_at.remove(&departure.agent);
+                self.service_hosts
+                    .retain(|host| host.agent != departure.agent);
+                Vec::new()
+            }
             PeerMessage::Announcement(_) | PeerMessage::Heartbeat(_) => Vec::new(),
         }
     }
@@ -229,6 +271,30 @@
         })
     }
 
+    /// Returns the messages with which the agent takes its leave before it exits. If its host
+    /// certainly holds no flow, balancers and agents need not look for flows there any more.
+    pub fn departure_messages(&mut self, now: Time) -> Vec<OutgoingMessage> {
+        if self.flows.active() > 0 || self.may_hold_unknown_flows(now) {
+            return Vec::new();
+        }
+        let own_address = self.identity.address;
+        let announcement = PeerMessage::Announcement(Announcement {
+            state: HostState::Gone,
+            ..self.announcement(now)
+        });
+        let departure = PeerMessage::Departure(AgentDeparture { agent: own_address });
+        let agents: Vec<Ipv4Addr> = self
+            .service_hosts
+            .iter()
+            .map(|host| host.agent)
+            .filter(|agent| *agent != own_address)
+            .collect();
+        info!(event = "departure", agents = agents.len(); "agent exits: its host holds no flows");
+        OutgoingMessage::to_each(self.peers.addresses(), &announcement)
+            .chain(OutgoingMessage::to_each(agents, &departure))
+            .collect()
+    }
+
     /// Adds addresses at which balancers may run. If any is new, the next tick announces the host.
     pub fn add_balancers(&mut self, now: Time, balancers: impl IntoIterator<Item = Ipv4Addr>) {
         if self.peers.add_all(now, balancers) {
--- a/crates/coordination/src/passthrough/agent/mod.rs
+++ b/crates/coordination/src/passthrough/agent/mod.rs
@@ -154,6 +154,11 @@
     syn_deadlines: VecDeque<(Time, FlowId)>,
     /// Time of the first SYN that was delivered since the last packet of the backend server.
     unanswered_since: Option<Time>,
+    /// Latest time at which no backend server ran.
+    absent_server_at: Option<Time>,
+    /// Time of the latest check whether the backend server runs, as requested by
+    /// [`Agent::should_check_server`].
+    server_checked_at: Option<Time>,
     /// Whether the backend server may have restarted and has not reported since. Until it reports
     /// it may be cold, and the host accepts no new flows.
     awaits_report: bool,
@@ -194,6 +199,8 @@
             flows: FlowTable::default(),
             syn_deadlines: VecDeque::new(),
             unanswered_since: None,
+            absent_server_at: None,
+            server_checked_at: None,
             awaits_report: false,
             syn_queue: SynQueue::new(options.syn_queue_capacity),
             outcomes: OutcomeTracker::new(options.outcomes),
--- a/crates/coordination/src/passthrough/agent/options.rs
+++ b/crates/coordination/src/passthrough/agent/options.rs
@@ -13,6 +13,8 @@
     /// Time for which SYNs may be unanswered, while no packet comes from the backend server, before
     /// the host gets no new flows.
     pub suspect_after: Span,
+    /// Interval of the checks whether a suspected backend server runs at all.
+    pub server_check_interval: Span,
     /// Time without a report of the backend server after which the host accepts no new flows: two
     /// reports are missing.
     pub report_timeout: Span,
@@ -72,6 +74,7 @@
             peers: PeerDirectoryOptions::default(),
             syn_timeout: Span::from_millis(40),
             suspect_after: Span::from_millis(300),
+            server_check_interval: Span::from_millis(500),
             report_timeout: Span::from_millis(2_200),
             idle_flow_retention: Span::from_secs(20),
             closed_flow_retention: Span::from_secs(3),
--- a/crates/coordination/src/passthrough/agent/segments.rs
+++ b/crates/coordination/src/passthrough/agent/segments.rs
@@ -153,6 +153,7 @@
             known_agents: self.known_agents(),
             is_server_new: self
                 .new_server_reported_at
+                .max(self.absent_server_at)
                 .is_some_and(|at| now.since(at) <= self.options.agent_retention),
         };
         if searcher == own_address {
@@ -198,7 +199,7 @@
 
     /// Returns whether the backend server may hold flows that this process does not know, because
     /// they were opened before the process started.
-    fn may_hold_unknown_flows(&self, now: Time) -> bool {
+    pub(super) fn may_hold_unknown_flows(&self, now: Time) -> bool {
         !self.observed_server_start && now.since(self.started) <= self.options.max_flow_duration
     }
 }
--- a/crates/coordination/src/passthrough/balancer/control.rs
+++ b/crates/coordination/src/passthrough/balancer/control.rs
@@ -103,7 +103,7 @@
                 self.on_owner(now, owner.flow, owner.agent);
                 Vec::new()
             }
-            PeerMessage::Absence(_) => Vec::new(),
+            PeerMessage::Absence(_) | PeerMessage::Departure(_) => Vec::new(),
         }
     }
 
--- a/crates/coordination/tests/passthrough_lost_flows.rs
+++ b/crates/coordination/tests/passthrough_lost_flows.rs
@@ -8,9 +8,9 @@
     cardamomloom_coordination::passthrough::agent::{Action, Agent, AgentIdentity, AgentOptions},
     cardamomloom_core::{Span, Time},
     cardamomloom_protocol::passthrough::{
-        AgentSetDigest, BalancerHeartbeat, CatalogueDocument, CatalogueVersion, FlowAbsence,
-        HostAdvertisement, PeerMessage, RelayHeader, RouteEntry, RouteTarget, RunId, Segment,
-        SegmentFlags, ServiceTag,
+        AgentDeparture, AgentSetDigest, BalancerHeartbeat, CatalogueDocument, CatalogueVersion,
+        FlowAbsence, HostAdvertisement, PeerMessage, RelayHeader, RouteEntry, RouteTarget, RunId,
+        Segment, SegmentFlags, ServiceTag,
     },
     cardamomloom_standins::passthrough::{CallerOptions, Load, Simulation, SimulationOptions},
     std::net::{Ipv4Addr, SocketAddrV4},
@@ -154,7 +154,7 @@
     let hosts = heartbeat(&[AGENT, OTHER_AGENT]);
     with_new_host.on_message(NOW - Span::from_millis(20), hosts, &mut actions);
     assert_eq!(
-        resets(with_new_host, &[denial.clone()]),
+        resets(with_new_host, std::slice::from_ref(&denial)),
         0,
         "balancers disagree about the agents"
     );
@@ -167,16 +167,28 @@
         with_silent_host.on_message(NOW - Span::from_millis(ago_ms), hosts, &mut actions);
     }
     assert_eq!(
-        resets(with_silent_host, &[denial.clone()]),
+        resets(with_silent_host, std::slice::from_ref(&denial)),
         0,
         "restarted balancers do not list an agent that is silent"
     );
 
+    let mut with_departed_host = agent();
+    let hosts = heartbeat(&[AGENT, OTHER_AGENT, THIRD_AGENT]);
+    with_departed_host.on_message(NOW - Span::from_millis(1_900), hosts, &mut actions);
+    let departure = PeerMessage::Departure(AgentDeparture { agent: THIRD_AGENT });
+    with_departed_host.on_message(NOW - Span::from_millis(100), departure, &mut actions);
+    with_departed_host.on_message(NOW - Span::from_millis(50), heartbeat(&[]), &mut actions);
+    assert_eq!(
+        resets(with_departed_host, std::slice::from_ref(&denial)),
+        1,
+        "an agent that has exited without flows need not be asked"
+    );
+
     let mut with_new_target = agent();
     with_new_target.on_catalogue(catalogue(2, &["service-1"]));
     with_new_target.on_catalogue(catalogue(3, &["service-0"]));
     assert_eq!(
-        resets(with_new_target, &[denial.clone()]),
+        resets(with_new_target, std::slice::from_ref(&denial)),
         0,
         "a host of another service may hold the flow"
     );
@@ -216,8 +228,11 @@
         simulation.crash_server(*agent);
     }
     simulation.run(Span::from_millis(1_500));
-    for agent in &agents {
-        simulation.restart_server(*agent, false);
+    for (index, agent) in agents.iter().enumerate() {
+        // One host has left for good; the agent beside it starts again nevertheless.
+        if index > 0 {
+            simulation.restart_server(*agent, false);
+        }
         simulation.start_agent(*agent);
     }
     for balancer in simulation.balancers() {
--- a/crates/daemon/src/passthrough/agent.rs
+++ b/crates/daemon/src/passthrough/agent.rs
@@ -173,6 +173,11 @@
                 let _ = reply.send(true);
                 self.send_control_messages(now);
             }
+            Event::ServerAbsent { asked_at } => {
+                self.agent.on_server_absent(asked_at, &mut self.actions);
+                self.execute_actions(now, &[]);
+            }
+            Event::ServerChecked => self.runtime.server_checker.finish(),
             Event::Seeds(seeds) => self.agent.add_balancers(now, seeds),
             Event::Stop => {
                 info!(
@@ -191,6 +196,8 @@
         self.update_runtime(now);
         self.publish_metrics(now);
         if self.agent.can_exit(now) {
+            let outgoing = self.agent.departure_messages(now);
+            self.runtime.control.send(outgoing);
             cx.stop();
             return;
         }
@@ -294,6 +301,9 @@
         self.runtime
             .snapshot_fetcher
             .start(|| self.agent.snapshot_source());
+        if self.agent.should_check_server(now) {
+            self.runtime.server_checker.start(self.io.server);
+        }
     }
 
     fn publish_metrics(&mut self, now: Time) {
--- a/crates/daemon/src/passthrough/balancer.rs
+++ b/crates/daemon/src/passthrough/balancer.rs
@@ -146,7 +146,11 @@
             }
             Event::Seeds(seeds) => self.balancer.add_balancers(now, seeds),
             Event::Stop => self.stop(cx, now),
-            Event::ServerPacketsReady | Event::Report(..) | Event::Departure(..) => {}
+            Event::ServerPacketsReady
+            | Event::Report(..)
+            | Event::Departure(..)
+            | Event::ServerAbsent { .. }
+            | Event::ServerChecked => {}
         }
     }
 
--- a/crates/daemon/src/passthrough/mod.rs
+++ b/crates/daemon/src/passthrough/mod.rs
@@ -9,6 +9,7 @@
 mod log_limit;
 mod node;
 mod registry;
+mod server_check;
 mod sockets;
 mod store_reader;
 
--- a/crates/daemon/src/passthrough/node.rs
+++ b/crates/daemon/src/passthrough/node.rs
@@ -4,12 +4,16 @@
 use {
     super::{
         Result, endpoints, registry,
+        server_check::check_server,
         sockets::PacketSocket,
         store_reader::{ReadMode, StoreReader},
     },
     crate::settings::{AnySettings, PassThroughRole, PassThroughSettings, load},
     cardamomloom_coordination::passthrough::OutgoingMessage,
-    cardamomloom_core::error::{Error, io},
+    cardamomloom_core::{
+        Time,
+        error::{Error, io},
+    },
     cardamomloom_platform::store::ObjectStore,
     cardamomloom_protocol::{
         forward::DatagramKey,
@@ -78,6 +82,13 @@
     Report(HostReport, oneshot::Sender<bool>),
     /// The backend server instance with this id has left; the reply acknowledges it.
     Departure(Arc<str>, oneshot::Sender<bool>),
+    /// The port of the backend server refused a connection that was attempted at this time.
+    ServerAbsent {
+        /// Time at which the connection was attempted.
+        asked_at: Time,
+    },
+    /// A check whether the backend server runs has ended.
+    ServerChecked,
     /// The settings file was read again and names these seeds.
     Seeds(Vec<Ipv4Addr>),
     /// The process received a stop signal.
@@ -98,6 +109,8 @@
     pub read_mode: watch::Sender<ReadMode>,
     /// Fetches snapshots from peers.
     pub snapshot_fetcher: SnapshotFetcher,
+    /// Checks whether the backend server runs.
+    pub server_checker: ServerChecker,
     /// Client of the store.
     pub store: ObjectStore,
 }
@@ -150,7 +163,12 @@
             control,
             is_ready,
             read_mode,
-            snapshot_fetcher: SnapshotFetcher::new(settings.http_port, events)?,
+            snapshot_fetcher: SnapshotFetcher::new(settings.http_port, events.clone())?,
+            server_checker: ServerChecker {
+                clock,
+                events,
+                is_busy: false,
+            },
             store,
         };
         Ok((runtime, inbox))
@@ -320,6 +338,29 @@
     }
 }
 
+/// Checks whether the backend server runs, one check at a time.
+#[derive(Debug)]
+pub struct ServerChecker {
+    clock: MonotonicClock,
+    events: mpsc::Sender<Event>,
+    is_busy: bool,
+}
+
+impl ServerChecker {
+    /// Records that the current check has ended, so that another one may start.
+    pub const fn finish(&mut self) {
+        self.is_busy = false;
+    }
+
+    /// Starts a check, unless one is in progress.
+    pub fn start(&mut self, server: SocketAddrV4) {
+        if std::mem::replace(&mut self.is_busy, true) {
+            return;
+        }
+        tokio::spawn(check_server(server, self.clock, self.events.clone()));
+    }
+}
+
 /// Runs the actors and passes events to `handler` until an actor shuts the system down.
 ///
 /// Sockets take precedence over `inbox`; packets of the backend server come first.
--- a/crates/protocol/src/passthrough/message.rs
+++ b/crates/protocol/src/passthrough/message.rs
@@ -225,6 +225,13 @@
     pub is_server_new: bool,
 }
 
+/// Exit of an agent whose host holds no flows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AgentDeparture {
+    /// Address of the agent.
+    pub agent: Ipv4Addr,
+}
+
 /// Control message between balancers and agents.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PeerMessage {
@@ -239,6 +246,9 @@
     /// States that a host does not hold a flow; sent by its agent to the agent that looks up the
     /// owner.
     Absence(FlowAbsence),
+    /// Announces that an agent exits and that its host holds no flows; sent to the other agents of
+    /// the service.
+    Departure(AgentDeparture),
 }
 
 /// State that a balancer serves to processes that are starting or lag behind.
--- a/crates/protocol/src/passthrough/mod.rs
+++ b/crates/protocol/src/passthrough/mod.rs
@@ -13,8 +13,9 @@
     },
     header::{LeastLoaded, MAX_VISITED, RELAY_HEADER_BYTES, RelayHeader, RelayKind, ServiceTag},
     message::{
-        AgentHeartbeat, AgentSetDigest, Announcement, BalancerHeartbeat, FlowAbsence, FlowOwner,
-        HostAdvertisement, HostListDigest, PeerMessage, RunId, Snapshot, open, seal,
+        AgentDeparture, AgentHeartbeat, AgentSetDigest, Announcement, BalancerHeartbeat,
+        FlowAbsence, FlowOwner, HostAdvertisement, HostListDigest, PeerMessage, RunId, Snapshot,
+        open, seal,
     },
     segment::{FlowId, PacketFormat, Segment, SegmentFlags},
 };
--- a/crates/standins/src/passthrough/simulation/faults.rs
+++ b/crates/standins/src/passthrough/simulation/faults.rs
@@ -74,7 +74,11 @@
             domain: server.domain.clone(),
             server: server_address(agent),
         };
-        let core = Agent::new(self.options.agent, identity, &self.seeds(), self.now);
+        let is_server_up = server.is_up;
+        let mut core = Agent::new(self.options.agent, identity, &self.seeds(), self.now);
+        if !is_server_up {
+            core.on_server_absent(self.now, &mut Vec::new());
+        }
         let process = AgentProcess {
             core,
             generation,
