Send lists of hosts that do not fit a datagram in parts

Cause: an agent knew at most 64 hosts of its service. In a service of 163 hosts an owner lookup did not reach the owner of a flow that had been passed on, when its packets came through another balancer. Change: a longer list is sent as parts with the digest of the whole list. Candidates for SYNs, owner lookups and the proof that a flow is lost use all hosts of the service.

--- a/crates/coordination/src/passthrough/agent/control.rs
+++ b/crates/coordination/src/passthrough/agent/control.rs
@@ -8,11 +8,12 @@
         control::HostState,
         passthrough::{
             AgentDeparture, AgentHeartbeat, Announcement, BalancerHeartbeat, CatalogueDocument,
-            DomainStatus, HostAdvertisement, HostListDigest, HostReport, PeerMessage, Snapshot,
+            DomainStatus, HostAdvertisement, HostListDigest, HostListPart, HostReport, PeerMessage,
+            Snapshot,
         },
     },
     log::{info, warn},
-    std::net::Ipv4Addr,
+    std::{collections::BTreeMap, net::Ipv4Addr},
 };
 
 /// Time after a change of the state in which the full announcement is repeated, so that a lost
@@ -29,6 +30,13 @@
     report.sequence <= MAX_NEW_RUN_SEQUENCE
 }
 
+/// Parts of a list of hosts that have arrived.
+#[derive(Debug, Default)]
+struct PartialHostList {
+    list: HostListDigest,
+    parts: BTreeMap<u8, Vec<HostAdvertisement>>,
+}
+
 #[derive(Debug, Default)]
 pub(super) struct ControlState {
     next_announcement: Time,
@@ -40,6 +48,7 @@
     pub agents_changed_at: Time,
     /// Time of the last heartbeat of a balancer.
     pub last_balancer_contact: Option<Time>,
+    partial_list: PartialHostList,
     /// Digest of the hosts of the service that the agent knows.
     hosts_digest: HostListDigest,
     stopping_since: Option<Time>,
@@ -196,6 +205,10 @@
                 self.on_absence(now, &absence, actions);
                 Vec::new()
             }
+            PeerMessage::HostListPart(part) => {
+                self.on_host_list_part(now, part);
+                Vec::new()
+            }
             PeerMessage::Departure(departure) => {
                 self.agents_listed_at.remove(&departure.agent);
                 self.service_hosts
@@ -326,21 +339,10 @@
             self.on_domain_status(status);
         }
         if !heartbeat.hosts.is_empty() {
-            self.control.hosts_digest = HostListDigest::of(&heartbeat.hosts);
-            let agents = |hosts: &[HostAdvertisement]| -> Vec<Ipv4Addr> {
-                hosts.iter().map(|host| host.agent).collect()
-            };
-            if agents(&heartbeat.hosts) != agents(&self.service_hosts) {
-                self.control.agents_changed_at = now;
-            }
-            self.service_hosts = heartbeat.hosts;
+            self.apply_host_list(now, heartbeat.hosts);
         }
         // An answer without a list confirms the present one.
-        let retention = self.options.agent_retention;
-        self.agents_listed_at
-            .retain(|_, listed_at| now.since(*listed_at) <= retention);
-        let listed_agents = self.service_hosts.iter().map(|host| (host.agent, now));
-        self.agents_listed_at.extend(listed_agents);
+        self.touch_listed_agents(now);
         let mut receivers = added;
         if heartbeat.wants_answer && !receivers.contains(&heartbeat.balancer) {
             receivers.push(heartbeat.balancer);
@@ -352,6 +354,50 @@
         OutgoingMessage::to_each(receivers, &message).collect()
     }
 
+    /// Collects the parts of a list of hosts, and replaces the present list when all have arrived.
+    fn on_host_list_part(&mut self, now: Time, part: HostListPart) {
+        let partial = &mut self.control.partial_list;
+        if partial.list != part.list {
+            *partial = PartialHostList {
+                list: part.list,
+                parts: BTreeMap::new(),
+            };
+        }
+        partial.parts.insert(part.position, part.hosts);
+        if partial.parts.len() < usize::from(part.parts) {
+            return;
+        }
+        let parts = std::mem::take(partial).parts.into_values();
+        let hosts: Vec<HostAdvertisement> = parts.flatten().collect();
+        if HostListDigest::of(&hosts) != part.list {
+            warn!(event = "host_list_rejected", hosts = hosts.len(); "list of hosts rejected: its parts do not match its digest");
+            return;
+        }
+        self.apply_host_list(now, hosts);
+        self.touch_listed_agents(now);
+    }
+
+    fn apply_host_list(&mut self, now: Time, hosts: Vec<HostAdvertisement>) {
+        self.control.hosts_digest = HostListDigest::of(&hosts);
+        let agents = |hosts: &[HostAdvertisement]| -> Vec<Ipv4Addr> {
+            hosts.iter().map(|host| host.agent).collect()
+        };
+        if agents(&hosts) != agents(&self.service_hosts) {
+            self.control.agents_changed_at = now;
+        }
+        self.service_hosts = hosts;
+    }
+
+    /// Records that balancers list the present agents of the service, and forgets those that have
+    /// not been listed for long.
+    fn touch_listed_agents(&mut self, now: Time) {
+        let retention = self.options.agent_retention;
+        self.agents_listed_at
+            .retain(|_, listed_at| now.since(*listed_at) <= retention);
+        let listed_agents = self.service_hosts.iter().map(|host| (host.agent, now));
+        self.agents_listed_at.extend(listed_agents);
+    }
+
     /// Resets the flows that were opened before the last report of the previous run. Later ones may
     /// belong to the current run; if they do not, the backend server returns their packets.
     fn reset_flows(&mut self, previous_report: Time, actions: &mut Vec<Action>) {
--- a/crates/coordination/src/passthrough/agent/segments.rs
+++ b/crates/coordination/src/passthrough/agent/segments.rs
@@ -6,7 +6,6 @@
         Action, Agent, DropReason, LocalFlow, Outcome, Phase, close_if_finished,
         lookup::LookupQuery,
     },
-    crate::passthrough::MAX_ADVERTISEMENTS,
     cardamomloom_core::{Span, Time},
     cardamomloom_protocol::passthrough::{
         AgentSetDigest, FlowAbsence, FlowId, RelayHeader, RelayKind, RunId, Segment,
@@ -176,8 +175,8 @@
     /// Returns whether a flow may be reset when all known agents state that their hosts do not hold
     /// it: this agent knows all agents of the service, and no other service can hold the flow.
     ///
-    /// The list of agents must be complete, not longer than a heartbeat can carry, and unchanged for
-    /// as long as an agent may take to announce itself to restarted balancers.
+    /// The list of agents must have been unchanged for as long as an agent may take to announce itself
+    /// to restarted balancers.
     fn may_reset_unknown(&self, now: Time, flow: &FlowId) -> bool {
         let settle_span = self
             .options
@@ -191,7 +190,6 @@
             && now.since(self.started) >= settle_span
             && now.since(self.control.agents_changed_at) >= settle_span
             && !self.service_hosts.is_empty()
-            && self.service_hosts.len() < MAX_ADVERTISEMENTS
             && self
                 .catalogue
                 .is_only_target(flow.service, &self.identity.service)
--- a/crates/coordination/src/passthrough/balancer/control.rs
+++ b/crates/coordination/src/passthrough/balancer/control.rs
@@ -2,17 +2,21 @@
 
 use {
     super::Balancer,
-    crate::passthrough::{MAX_ADVERTISEMENTS, OutgoingMessage, as_millis_u16, paced_interval},
+    crate::passthrough::{OutgoingMessage, as_millis_u16, paced_interval},
     cardamomloom_core::{DomainName, Span, Time},
     cardamomloom_protocol::passthrough::{
         AgentHeartbeat, Announcement, BalancerHeartbeat, CatalogueDocument, CatalogueVersion,
-        DomainStatus, HostAdvertisement, HostListDigest, PeerMessage, Registration, Snapshot,
-        StoreRevision,
+        DomainStatus, HostAdvertisement, HostListDigest, HostListPart, PeerMessage, Registration,
+        Snapshot, StoreRevision,
     },
     log::info,
     std::net::Ipv4Addr,
 };
 
+/// Maximum number of hosts in a heartbeat to an agent or in a part of a list, so that it fits a
+/// datagram.
+const MAX_ADVERTISEMENTS: usize = 64;
+
 /// Maximum number of balancers in a heartbeat, so that it fits a datagram. The list starts at
 /// another balancer each time, so that a receiver learns all of them.
 const MAX_BALANCERS: usize = 48;
@@ -103,7 +107,9 @@
                 self.on_owner(now, owner.flow, owner.agent);
                 Vec::new()
             }
-            PeerMessage::Absence(_) | PeerMessage::Departure(_) => Vec::new(),
+            PeerMessage::Absence(_) | PeerMessage::Departure(_) | PeerMessage::HostListPart(_) => {
+                Vec::new()
+            }
         }
     }
 
@@ -281,7 +287,7 @@
         if self.hosts.on_announcement(now, announcement) {
             info!(event = "host_changed", agent:%, life:% = run, standing:? = state; "host is new, or announced a new run, state or service");
         }
-        answer.into_iter().collect()
+        answer
     }
 
     /// Processes the heartbeat of an agent. An agent whose state is not known is asked for an
@@ -300,9 +306,9 @@
             }];
         }
         let record = self.hosts.get(agent_heartbeat.agent);
-        let answer = record
-            .and_then(|record| self.answer(now, &record.announcement, agent_heartbeat.asks_hosts));
-        answer.into_iter().collect()
+        record.map_or_else(Vec::new, |record| {
+            self.answer(now, &record.announcement, agent_heartbeat.asks_hosts)
+        })
     }
 
     /// Answers an agent that asks for hosts or has an older catalogue. The host list is left out
@@ -313,25 +319,32 @@
         now: Time,
         agent: &Announcement,
         asks_hosts: Option<HostListDigest>,
-    ) -> Option<OutgoingMessage> {
+    ) -> Vec<OutgoingMessage> {
         let is_lagging = agent.catalogue < self.catalogue.version();
         if asks_hosts.is_none() && !is_lagging {
-            return None;
+            return Vec::new();
         }
+        let mut messages = Vec::new();
         let mut heartbeat = self.short_heartbeat(now);
         if let Some(digest) = asks_hosts {
             let hosts = self.host_advertisements(now, agent);
-            if HostListDigest::of(&hosts) != digest {
-                heartbeat.hosts = hosts;
-            }
-            if !heartbeat.hosts.is_empty() || self.lists_balancers(now) {
+            let list = HostListDigest::of(&hosts);
+            let is_new = list != digest && !hosts.is_empty();
+            if is_new || self.lists_balancers(now) {
                 heartbeat.balancers = self.listed_balancers();
             }
+            if is_new && hosts.len() <= MAX_ADVERTISEMENTS {
+                heartbeat.hosts = hosts;
+            } else if is_new {
+                messages = host_list_parts(list, &hosts);
+            }
         }
-        Some(OutgoingMessage {
-            to: agent.agent,
-            message: PeerMessage::BalancerHeartbeat(heartbeat),
-        })
+        messages.insert(0, PeerMessage::BalancerHeartbeat(heartbeat));
+        let to = agent.agent;
+        let outgoing = messages.into_iter();
+        outgoing
+            .map(|message| OutgoingMessage { to, message })
+            .collect()
     }
 
     /// Processes the heartbeat of another balancer. New balancers are sent the list of the known
@@ -459,8 +472,7 @@
 
     fn host_advertisements(&self, now: Time, agent: &Announcement) -> Vec<HostAdvertisement> {
         let is_usable = |record: &_| self.is_usable(now, record);
-        self.hosts
-            .advertisements(agent, is_usable, MAX_ADVERTISEMENTS)
+        self.hosts.advertisements(agent, is_usable)
     }
 
     fn confirmed_ago_ms(&self, now: Time) -> Option<u32> {
@@ -469,3 +481,20 @@
             .map(|ago| u32::try_from(ago.as_millis()).unwrap_or(u32::MAX))
     }
 }
+
+/// Splits a list of hosts into parts that fit a datagram each.
+fn host_list_parts(list: HostListDigest, hosts: &[HostAdvertisement]) -> Vec<PeerMessage> {
+    let chunks = hosts.chunks(MAX_ADVERTISEMENTS);
+    let parts = u8::try_from(chunks.len()).unwrap_or(u8::MAX);
+    (0..parts)
+        .zip(chunks)
+        .map(|(position, hosts)| {
+            PeerMessage::HostListPart(HostListPart {
+                list,
+                position,
+                parts,
+                hosts: hosts.to_vec(),
+            })
+        })
+        .collect()
+}
--- a/crates/coordination/src/passthrough/hosts.rs
+++ b/crates/coordination/src/passthrough/hosts.rs
@@ -216,15 +216,13 @@
             })
     }
 
-    /// Returns at most `limit` hosts of the service of an agent that have not departed. The list
-    /// starts at the agent's own address and wraps around, so that the agents of a large service
-    /// know different hosts.
+    /// Returns the hosts of the service of an agent that have not departed. The list starts at the
+    /// agent's own address and wraps around.
     #[must_use]
     pub fn advertisements(
         &self,
         receiver: &Announcement,
         is_usable: impl Fn(&HostRecord) -> bool,
-        limit: usize,
     ) -> Vec<HostAdvertisement> {
         let Some(agents) = self.by_service.get(&receiver.service) else {
             return Vec::new();
@@ -235,7 +233,6 @@
             .chain(lower)
             .filter_map(|agent| self.records.get(agent))
             .filter(|record| record.announcement.state != HostState::Gone)
-            .take(limit)
             .map(|record| HostAdvertisement {
                 agent: record.announcement.agent,
                 run: record.announcement.run,
--- a/crates/coordination/src/passthrough/mod.rs
+++ b/crates/coordination/src/passthrough/mod.rs
@@ -25,10 +25,6 @@
     rendezvous::{flow_hash, rendezvous_score},
 };
 
-/// Maximum number of hosts in a heartbeat to an agent, so that it fits a datagram. An agent that
-/// gets fewer knows all hosts of its service.
-const MAX_ADVERTISEMENTS: usize = 64;
-
 /// A control message and the process that it is sent to.
 #[derive(Clone, Debug)]
 pub struct OutgoingMessage {
--- a/crates/protocol/src/passthrough/message.rs
+++ b/crates/protocol/src/passthrough/message.rs
@@ -184,7 +184,8 @@
     pub confirmed_ago_ms: Option<u32>,
     /// Balancers that the sender knows; empty in a heartbeat without lists.
     pub balancers: Vec<Ipv4Addr>,
-    /// Hosts of the receiver's service; empty if the receiver has the list or did not request it.
+    /// Hosts of the receiver's service; empty if the receiver has the list or did not request it, or
+    /// if the list is sent as [`HostListPart`]s because it does not fit a datagram.
     pub hosts: Vec<HostAdvertisement>,
 }
 
@@ -225,6 +226,19 @@
     pub is_server_new: bool,
 }
 
+/// Part of a list of hosts that does not fit a datagram.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostListPart {
+    /// Digest of the whole list.
+    pub list: HostListDigest,
+    /// Position of this part, from 0.
+    pub position: u8,
+    /// Number of parts of the list.
+    pub parts: u8,
+    /// Hosts of this part.
+    pub hosts: Vec<HostAdvertisement>,
+}
+
 /// Exit of an agent whose host holds no flows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AgentDeparture {
@@ -249,6 +263,9 @@
     /// Announces that an agent exits and that its host holds no flows; sent to the other agents of
     /// the service.
     Departure(AgentDeparture),
+    /// Part of the hosts of the receiver's service; sent by a balancer to an agent that requests the
+    /// list.
+    HostListPart(HostListPart),
 }
 
 /// State that a balancer serves to processes that are starting or lag behind.
