Elect the store's readers, and start from a replica that may lag

Cause: at a start all 91 balancers of the large deployment read the store, because each lacks a catalogue and hears of no reader, and agents take over 2.5 s after the last confirmation, which is also the time between two heartbeats of a reader at this size. During an outage all 295 processes call every 1.2 s. Change: a process that starts reads catalogue, evacuations and registrations once with a call that may lag (a tenth of the price, not limited). Two balancers with the lowest known addresses follow the store after 500 ms; when they fail, the others take over in an order given by a hash, 50 ms apart on average. Failing calls of the others are spread over the size of the fleet, and agents that hear balancers take over late. A new reader announces itself at once.

--- a/crates/coordination/src/passthrough/agent/control.rs
+++ b/crates/coordination/src/passthrough/agent/control.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{Action, Agent, ColdStartBucket, Host, HostReportState, Phase, ReportOutcome},
-    crate::passthrough::{OutgoingMessage, as_millis_u16, paced_interval},
+    crate::passthrough::{OutgoingMessage, StoreAccess, as_millis_u16, paced_interval, stagger},
     cardamomloom_core::{Span, Time},
     cardamomloom_protocol::{
         control::HostState,
@@ -256,15 +256,33 @@
         self.control.newer_balancer.take()
     }
 
-    /// Returns whether the agent should read the store itself, because no balancer confirms its
-    /// catalogue.
+    /// Returns the time since the store last confirmed the catalogue, or `None` if it never has.
     #[must_use]
-    pub fn should_read_store(&self, now: Time) -> bool {
-        now.since(self.started) > self.options.stale_after
-            && self
-                .catalogue
-                .confirmed_ago(now)
-                .is_none_or(|ago| ago > self.options.stale_after)
+    pub fn confirmed_ago(&self, now: Time) -> Option<Span> {
+        self.catalogue.confirmed_ago(now)
+    }
+
+    /// Chooses how the agent reads the store. It follows the store itself when no balancer has
+    /// confirmed its catalogue for long. While balancers are live, the agents of a fleet do so one
+    /// after the other, because balancers probably cannot reach the store either.
+    #[must_use]
+    pub fn store_access(&self, now: Time) -> StoreAccess {
+        let options = &self.options;
+        let balancers = self.peers.len();
+        let confirmed_at = now - self.catalogue.confirmed_ago(now).unwrap_or(Span(now.0));
+        let unconfirmed_span = now.since(confirmed_at.max(self.started));
+        let spread = if self.peers.live(now).next().is_some() {
+            Span(options.store_takeover_spacing.0 * balancers as u64)
+        } else {
+            Span::ZERO
+        };
+        let takeover_delay = stagger(self.identity.address, spread);
+        if unconfirmed_span <= Span(options.stale_after.0 + takeover_delay.0) {
+            return StoreAccess::None;
+        }
+        StoreAccess::Follow {
+            max_backoff: options.store_access.takeover_backoff(balancers),
+        }
     }
 
     /// Starts to stop: the host is announced as draining.
--- a/crates/coordination/src/passthrough/agent/options.rs
+++ b/crates/coordination/src/passthrough/agent/options.rs
@@ -1,6 +1,10 @@
 //! Configuration of an agent.
 
-use {super::OutcomeOptions, crate::passthrough::PeerDirectoryOptions, cardamomloom_core::Span};
+use {
+    super::OutcomeOptions,
+    crate::passthrough::{PeerDirectoryOptions, StoreAccessOptions},
+    cardamomloom_core::Span,
+};
 
 /// Limits, intervals and timeouts of an agent.
 #[derive(Clone, Copy, Debug)]
@@ -61,6 +65,11 @@
     pub discovery_interval: Span,
     /// Age of the catalogue above which the agent reads the store itself.
     pub stale_after: Span,
+    /// Time, for each known balancer, over which the agents of a fleet start to read the store while
+    /// balancers are live.
+    pub store_takeover_spacing: Span,
+    /// Delays of the access to the store.
+    pub store_access: StoreAccessOptions,
     /// Time for which a stopping agent waits for its flows to end. It is shorter than the grace
     /// period of the platform.
     pub stop_timeout: Span,
@@ -92,6 +101,8 @@
             max_announcements_per_s: 80,
             discovery_interval: Span::from_millis(100),
             stale_after: Span::from_millis(2_500),
+            store_takeover_spacing: Span::from_millis(200),
+            store_access: StoreAccessOptions::default(),
             stop_timeout: Span::from_millis(4_500),
             stop_linger: Span::from_millis(300),
         }
--- a/crates/coordination/src/passthrough/balancer/control.rs
+++ b/crates/coordination/src/passthrough/balancer/control.rs
@@ -2,7 +2,9 @@
 
 use {
     super::Balancer,
-    crate::passthrough::{OutgoingMessage, as_millis_u16, paced_interval},
+    crate::passthrough::{
+        OutgoingMessage, ReaderCensus, StoreAccess, as_millis_u16, paced_interval,
+    },
     cardamomloom_core::{DomainName, Span, Time},
     cardamomloom_protocol::passthrough::{
         AgentHeartbeat, Announcement, BalancerHeartbeat, CatalogueDocument, CatalogueVersion,
@@ -136,6 +138,10 @@
     /// Records that the store answered this balancer at `confirmed_at` and thereby confirmed the
     /// catalogue and the status of the failure domains.
     pub fn on_store_confirmed(&mut self, confirmed_at: Time) {
+        if !self.is_reader(confirmed_at) {
+            // Announces the new reader at once, so that no other balancer starts to read.
+            self.control.next_heartbeat = Time::ZERO;
+        }
         self.control.last_store_read = self.control.last_store_read.max(Some(confirmed_at));
         self.catalogue.confirm(confirmed_at);
     }
@@ -193,14 +199,16 @@
         self.catalogue.confirmed_ago(now)
     }
 
-    /// Returns whether this balancer should read the store: because it lacks the catalogue or the
-    /// status of the failure domains, or because fewer than
-    /// [`store_readers`](super::BalancerOptions::store_readers) balancers with lower addresses read
-    /// it for all.
-    #[must_use]
-    pub fn should_read_store(&self, now: Time) -> bool {
-        !self.catalogue.is_initialized()
-            || self.peers.preceding_readers(now, self.own_address) < self.options.store_readers
+    /// Chooses how this balancer reads the store: the balancers with the lowest addresses follow it
+    /// for all, and one without a catalogue reads it once.
+    pub fn store_access(&mut self, now: Time) -> StoreAccess {
+        let census = ReaderCensus {
+            balancers: self.peers.len() + 1,
+            preceding_balancers: self.peers.preceding(self.own_address),
+            preceding_readers: self.peers.preceding_readers(now, self.own_address),
+            is_initialized: self.catalogue.is_initialized(),
+        };
+        self.reader_election.decide(now, census)
     }
 
     /// Returns whether the routers may send packets to this balancer.
--- a/crates/coordination/src/passthrough/balancer/mod.rs
+++ b/crates/coordination/src/passthrough/balancer/mod.rs
@@ -14,7 +14,8 @@
 use {
     super::{
         CatalogueView, FlowCache, HostDirectory, HostDirectoryOptions, HostRecord, Lookup,
-        PeerDirectory, PeerDirectoryOptions, flow_hash, rendezvous_score,
+        PeerDirectory, PeerDirectoryOptions, ReaderElection, StoreAccessOptions, flow_hash,
+        rendezvous_score,
     },
     cardamomloom_core::{ServiceName, Span, Time},
     cardamomloom_protocol::{
@@ -48,9 +49,8 @@
     /// Interval of heartbeats while no other balancer is live. It is short so that processes that
     /// start together find each other at once.
     pub discovery_interval: Span,
-    /// Number of balancers that read the store for all others. There are two, so that one may
-    /// fail.
-    pub store_readers: usize,
+    /// Number of balancers that read the store for all others, and delays of their election.
+    pub store_access: StoreAccessOptions,
     /// Time without a heartbeat after which the registration of a balancer is removed.
     pub registration_timeout: Span,
     /// Time without any usable host of a service after which new flows to it are refused. It is
@@ -74,7 +74,7 @@
             heartbeat_interval: Span::from_millis(500),
             max_heartbeats_per_s: 60,
             discovery_interval: Span::from_millis(100),
-            store_readers: 2,
+            store_access: StoreAccessOptions::default(),
             registration_timeout: Span::from_secs(60),
             refuse_after: Span::from_millis(1_500),
             startup_queue_window: Span::from_secs(3),
@@ -140,6 +140,7 @@
     peers: PeerDirectory,
     placements: FlowCache<Placement>,
     outages: ServiceOutages,
+    reader_election: ReaderElection,
     control: control::ControlState,
 }
 
@@ -166,6 +167,7 @@
                 options.placement_cache_ttl,
             ),
             outages: ServiceOutages::new(options.refuse_after),
+            reader_election: ReaderElection::new(options.store_access, own_address, now),
             control: control::ControlState::default(),
             options,
         }
--- a/crates/coordination/src/passthrough/mod.rs
+++ b/crates/coordination/src/passthrough/mod.rs
@@ -12,6 +12,7 @@
 mod hosts;
 mod peers;
 mod rendezvous;
+mod store_access;
 
 use {
     cardamomloom_core::Span, cardamomloom_protocol::passthrough::PeerMessage, std::net::Ipv4Addr,
@@ -23,6 +24,7 @@
     hosts::{HostDirectory, HostDirectoryOptions, HostRecord},
     peers::{PeerDirectory, PeerDirectoryOptions},
     rendezvous::{flow_hash, rendezvous_score},
+    store_access::{ReaderCensus, ReaderElection, StoreAccess, StoreAccessOptions, stagger},
 };
 
 /// A control message and the process that it is sent to.
--- a/crates/coordination/src/passthrough/peers.rs
+++ b/crates/coordination/src/passthrough/peers.rs
@@ -198,6 +198,12 @@
             .count()
     }
 
+    /// Returns the number of known balancers with a lower address than `own_address`, live or not.
+    #[must_use]
+    pub fn preceding(&self, own_address: Ipv4Addr) -> usize {
+        self.peers.range(..own_address).count()
+    }
+
     /// Returns whether a balancer has sent a heartbeat since it was added to the directory.
     #[must_use]
     pub fn has_contacted(&self, balancer: Ipv4Addr) -> bool {
--- a/crates/daemon/src/passthrough/agent.rs
+++ b/crates/daemon/src/passthrough/agent.rs
@@ -297,7 +297,7 @@
     fn update_runtime(&mut self, now: Time) {
         self.runtime.is_ready.store(true, Ordering::Relaxed);
         self.runtime
-            .set_store_reading(self.agent.should_read_store(now));
+            .set_store_access(self.agent.store_access(now), self.agent.confirmed_ago(now));
         self.runtime
             .snapshot_fetcher
             .start(|| self.agent.snapshot_source());
--- a/crates/daemon/src/passthrough/balancer.rs
+++ b/crates/daemon/src/passthrough/balancer.rs
@@ -283,8 +283,9 @@
             info!(event = "readiness", is_ready, hosts, balancers; "readiness changed");
             self.runtime.is_ready.store(is_ready, Ordering::Relaxed);
         }
+        let access = self.balancer.store_access(now);
         self.runtime
-            .set_store_reading(self.balancer.should_read_store(now));
+            .set_store_access(access, self.balancer.confirmed_ago(now));
         self.runtime
             .snapshot_fetcher
             .start(|| self.balancer.snapshot_source(now));
--- a/crates/daemon/src/passthrough/node.rs
+++ b/crates/daemon/src/passthrough/node.rs
@@ -9,9 +9,9 @@
         store_reader::{ReadMode, StoreReader},
     },
     crate::settings::{AnySettings, PassThroughRole, PassThroughSettings, load},
-    cardamomloom_coordination::passthrough::OutgoingMessage,
+    cardamomloom_coordination::passthrough::{OutgoingMessage, StoreAccess},
     cardamomloom_core::{
-        Time,
+        Span, Time,
         error::{Error, io},
     },
     cardamomloom_platform::store::ObjectStore,
@@ -26,6 +26,7 @@
     log::{info, warn},
     stakker::{Fwd, Stakker},
     std::{
+        mem::discriminant,
         net::{Ipv4Addr, SocketAddrV4},
         path::Path,
         rc::Rc,
@@ -174,14 +175,24 @@
         Ok((runtime, inbox))
     }
 
-    /// Starts or stops reading of the store.
-    pub fn set_store_reading(&self, should_read: bool) {
-        let mode = if should_read {
-            ReadMode::Watch
-        } else {
-            ReadMode::Idle
+    /// Sets how the process reads the store, and logs a change. `confirmed_ago` is the time since the
+    /// store last confirmed the catalogue.
+    pub fn set_store_access(&self, access: StoreAccess, confirmed_ago: Option<Span>) {
+        let mode = match access {
+            StoreAccess::None => ReadMode::Idle,
+            StoreAccess::Bootstrap => ReadMode::Bootstrap,
+            StoreAccess::Follow { max_backoff } => ReadMode::Watch {
+                max_backoff: max_backoff.to_duration(),
+            },
         };
         self.read_mode.send_if_modified(|current| {
+            if discriminant(current) != discriminant(&mode) {
+                info!(
+                    event = "store_access", access = access.label(),
+                    confirmed_ago_ms = confirmed_ago.map(Span::as_millis);
+                    "way in which this process reads the store changed"
+                );
+            }
             let is_change = *current != mode;
             *current = mode;
             is_change
--- a/crates/daemon/src/passthrough/registry.rs
+++ b/crates/daemon/src/passthrough/registry.rs
@@ -78,7 +78,7 @@
         }
         for _ in 0..NON_READER_AUDIT_INTERVALS {
             tokio::time::sleep(AUDIT_INTERVAL).await;
-            if *modes.borrow() == ReadMode::Watch {
+            if matches!(*modes.borrow(), ReadMode::Watch { .. }) {
                 break;
             }
         }
--- a/crates/daemon/src/passthrough/store_reader.rs
+++ b/crates/daemon/src/passthrough/store_reader.rs
@@ -3,12 +3,15 @@
 
 use {
     super::node::Event,
-    cardamomloom_core::{DomainName, error::Error},
+    cardamomloom_core::{
+        DomainName,
+        error::{Error, ErrorKind},
+    },
     cardamomloom_platform::{
         catalogue,
         store::{
-            CONFIGURATION_KIND, CONFIGURATION_NAME, Change, EVACUATION_KIND, Listing, ObjectStore,
-            StoredObject, WatchOutcome,
+            CONFIGURATION_KIND, CONFIGURATION_NAME, Change, EVACUATION_KIND, Freshness, Listing,
+            ObjectStore, StoredObject, WatchOutcome,
         },
     },
     cardamomloom_protocol::passthrough::{DomainStatus, StoreRevision},
@@ -24,20 +27,28 @@
 /// readers are replaced before a configuration change must be in effect.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Backoff after the first failed call. It doubles with every failure up to [`MAX_BACKOFF`],
+/// Backoff after the first failed call. It doubles with every failure up to the limit of the mode,
 /// because the store counts refused calls too.
 const MIN_BACKOFF: Duration = Duration::from_millis(200);
 
-/// Upper bound of the backoff. A change must be in effect 3 s after the store is available again.
-const MAX_BACKOFF: Duration = Duration::from_millis(1_200);
+/// Share of the longest backoff that the first backoff is at least, as a divisor.
+const BACKOFF_STEPS: u32 = 6;
+
+/// Longest backoff of a process that reads the state once.
+const MAX_BOOTSTRAP_BACKOFF: Duration = Duration::from_millis(1_200);
 
 /// Whether a process reads from the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReadMode {
     /// The process does not call the store.
     Idle,
+    /// The process lists all objects once, as they were at most a few seconds ago.
+    Bootstrap,
     /// The process lists all objects and then watches for changes.
-    Watch,
+    Watch {
+        /// Longest backoff after failed calls.
+        max_backoff: Duration,
+    },
 }
 
 /// Kind of the stored objects that one reader reads.
@@ -105,16 +116,16 @@
     async fn run(mut self) {
         loop {
             let mut modes = self.modes.clone();
-            if modes
+            let Ok(mode) = modes
                 .wait_for(|mode| *mode != ReadMode::Idle)
                 .await
-                .is_err()
-            {
+                .map(|mode| *mode)
+            else {
                 return;
-            }
+            };
             tokio::select! {
-                () = self.read() => {}
-                changed = modes.wait_for(|mode| *mode == ReadMode::Idle) => {
+                () = self.read(mode) => {}
+                changed = modes.wait_for(|current| *current != mode) => {
                     if changed.is_err() {
                         return;
                     }
@@ -125,8 +136,13 @@
 
     /// Reads until a call fails or the objects must be listed again, and waits for the backoff
     /// after a failure.
-    async fn read(&mut self) {
-        if let Err(error) = self.list_and_watch().await {
+    async fn read(&mut self, mode: ReadMode) {
+        let (outcome, max_backoff) = match mode {
+            ReadMode::Idle => return,
+            ReadMode::Bootstrap => (self.bootstrap().await, MAX_BOOTSTRAP_BACKOFF),
+            ReadMode::Watch { max_backoff } => (self.list_and_watch().await, max_backoff),
+        };
+        if let Err(error) = outcome {
             if std::mem::replace(&mut self.is_available, false) {
                 warn!(
                     event = "store_lost", kind = self.kind.name();
@@ -134,14 +150,34 @@
                 );
             }
             metrics::counter!("cardamomloom_store_failures_total").increment(1);
-            tokio::time::sleep(self.backoff).await;
-            self.backoff = (self.backoff * 2).min(MAX_BACKOFF);
+            self.backoff = self.backoff.max(max_backoff / BACKOFF_STEPS);
+            tokio::time::sleep(self.backoff.min(max_backoff)).await;
+            self.backoff = (self.backoff * 2).min(max_backoff);
         }
     }
 
+    /// Lists all objects once, and then waits until the mode changes.
+    async fn bootstrap(&mut self) -> Result<()> {
+        let kind = self.kind.name();
+        let Listing { objects, revision } = self.store.list(kind, Freshness::MayLag).await?;
+        if self.kind == ObjectKind::Catalogue && objects.is_empty() {
+            return Err(Error::new(
+                ErrorKind::NotFound,
+                "store: the catalogue does not exist yet",
+            ));
+        }
+        self.domains_out.clear();
+        for object in &objects {
+            self.apply(object, false).await;
+        }
+        self.send_domain_status(revision).await;
+        self.backoff = MIN_BACKOFF;
+        std::future::pending().await
+    }
+
     async fn list_and_watch(&mut self) -> Result<()> {
         let kind = self.kind.name();
-        let Listing { objects, revision } = self.store.list(kind).await?;
+        let Listing { objects, revision } = self.store.list(kind, Freshness::Latest).await?;
         if !std::mem::replace(&mut self.is_available, true) {
             info!(event = "store_regained", kind, revision:%; "store is available again");
         }
@@ -206,6 +242,11 @@
 
     /// Reports that the state at `revision` has been read completely.
     async fn publish(&self, revision: StoreRevision) {
+        self.send_domain_status(revision).await;
+        self.completed_reads.send_replace(true);
+    }
+
+    async fn send_domain_status(&self, revision: StoreRevision) {
         if self.kind == ObjectKind::Evacuations {
             let domains_out = self.domains_out.clone();
             self.send(Event::DomainStatus(DomainStatus {
@@ -214,7 +255,6 @@
             }))
             .await;
         }
-        self.completed_reads.send_replace(true);
     }
 
     async fn send(&self, event: Event) {
--- a/crates/standins/src/passthrough/simulation/events.rs
+++ b/crates/standins/src/passthrough/simulation/events.rs
@@ -7,7 +7,7 @@
         service_name, service_route,
     },
     cardamomloom_coordination::passthrough::{
-        OutgoingMessage, agent::Action, balancer::ForwardingDecision, flow_hash,
+        OutgoingMessage, StoreAccess, agent::Action, balancer::ForwardingDecision, flow_hash,
     },
     cardamomloom_core::{Span, Time},
     cardamomloom_protocol::{
@@ -215,20 +215,29 @@
         let mut snapshot_source = None;
         if let Some(process) = self.balancers.get_mut(&address) {
             outgoing = process.core.on_tick(now);
-            if process.core.should_read_store(now) && self.is_store_up && !process.is_cut_from_store
-            {
+            let access = process.core.store_access(now);
+            if matches!(access, StoreAccess::Follow { .. }) {
+                self.store_follower_ticks += 1;
+            }
+            if access != StoreAccess::None && self.is_store_up && !process.is_cut_from_store {
                 outgoing.extend(process.core.on_catalogue(now, self.catalogue.clone()));
                 outgoing.extend(
                     process
                         .core
                         .on_domain_status(now, self.domain_status.clone()),
                 );
-                process.core.on_store_confirmed(now);
+                if access != StoreAccess::Bootstrap {
+                    process.core.on_store_confirmed(now);
+                }
             }
             snapshot_source = process.core.snapshot_source(now);
         } else if let Some(process) = self.agents.get_mut(&address) {
             outgoing = process.core.on_tick(now);
-            if process.core.should_read_store(now) && self.is_store_up {
+            let access = process.core.store_access(now);
+            if access != StoreAccess::None {
+                self.store_follower_ticks += 1;
+            }
+            if access != StoreAccess::None && self.is_store_up {
                 process.core.on_catalogue(self.catalogue.clone());
                 process.core.on_domain_status(self.domain_status.clone());
                 process.core.on_store_confirmed(now);
--- a/crates/standins/src/passthrough/simulation/mod.rs
+++ b/crates/standins/src/passthrough/simulation/mod.rs
@@ -159,6 +159,9 @@
     /// Bytes of control messages that each process sent since the last call of
     /// [`Self::take_control_bytes`].
     control_bytes: BTreeMap<Ipv4Addr, usize>,
+    /// Ticks of processes that followed the store, since the last call of
+    /// [`Self::take_store_follower_ticks`].
+    store_follower_ticks: usize,
 }
 
 const TICK_INTERVAL: Span = Span::from_millis(50);
@@ -199,6 +202,7 @@
             last_disruption: Time::ZERO,
             oracle: Oracle::default(),
             control_bytes: BTreeMap::new(),
+            store_follower_ticks: 0,
             options,
         };
         for route in simulation.catalogue.routes.clone() {
@@ -262,6 +266,12 @@
         std::mem::take(&mut self.control_bytes)
     }
 
+    /// Returns the number of ticks, of 50 ms each, in which processes followed the store since the
+    /// last call, and resets it.
+    pub const fn take_store_follower_ticks(&mut self) -> usize {
+        std::mem::replace(&mut self.store_follower_ticks, 0)
+    }
+
     /// Returns the addresses of the balancers.
     #[must_use]
     pub fn balancers(&self) -> Vec<Ipv4Addr> {
