Announce at once that no backend server runs beside an agent

Cause: after a loss of power, agents whose backend server has left come back and are lost again soon, without a word. Change: the agent checks at its start, before its first announcement, and announces that it has no host. Other agents do not ask it then. Debug lines show the course of a lookup.

--- a/crates/coordination/src/passthrough/agent/control.rs
+++ b/crates/coordination/src/passthrough/agent/control.rs
@@ -119,18 +119,15 @@
         }
     }
 
-    /// Returns whether the process should check now whether the backend server runs at all: once after
-    /// the start, and then periodically while it is suspected. A check that is refused proves that
-    /// the flows of an earlier run are lost.
+    /// Returns whether the process should check now whether the backend server runs at all, which it
+    /// does periodically while the server is suspected and holds flows. A check that is refused proves
+    /// that these flows are lost.
     pub fn should_check_server(&mut self, now: Time) -> bool {
-        let is_due = match self.server_checked_at {
-            None => true,
-            Some(at) => {
-                self.is_suspected(now)
-                    && self.flows.active() > 0
-                    && now.since(at) >= self.options.server_check_interval
-            }
-        };
+        let is_due = self.is_suspected(now)
+            && self.flows.active() > 0
+            && self
+                .server_checked_at
+                .is_none_or(|at| now.since(at) >= self.options.server_check_interval);
         if is_due {
             self.server_checked_at = Some(now);
         }
@@ -533,7 +530,12 @@
     /// Returns the state of the host to announce.
     fn host_state(&self, now: Time) -> HostState {
         let Some(host) = &self.host else {
-            return HostState::Starting;
+            // Without a backend server there is no flow to look up here.
+            return if self.absent_server_at.is_some() {
+                HostState::Gone
+            } else {
+                HostState::Starting
+            };
         };
         match host.state {
             HostReportState::Gone => HostState::Gone,
--- a/crates/coordination/src/passthrough/agent/lookup.rs
+++ b/crates/coordination/src/passthrough/agent/lookup.rs
@@ -11,6 +11,7 @@
     crate::passthrough::FlowCache,
     cardamomloom_core::{Span, Time},
     cardamomloom_protocol::passthrough::{AgentSetDigest, FlowAbsence, FlowId},
+    log::debug,
     std::{collections::BTreeSet, net::Ipv4Addr},
 };
 
@@ -87,10 +88,21 @@
         if lookup.known_agents != absence.known_agents
             || (lookup.requires_new_servers && !absence.is_server_new)
         {
+            debug!(
+                event = "lookup_undecided", flow:% = absence.flow, agent:% = absence.agent,
+                known_agents:% = lookup.known_agents, their_agents:% = absence.known_agents,
+                is_server_new = absence.is_server_new;
+                "owner lookup ended without a result"
+            );
             self.lookups.remove(&absence.flow);
             return None;
         }
         lookup.pending.remove(&absence.agent);
+        debug!(
+            event = "flow_denied", flow:% = absence.flow, agent:% = absence.agent,
+            pending:? = lookup.pending;
+            "an agent does not hold the flow that is looked up"
+        );
         if !lookup.pending.is_empty() {
             return None;
         }
--- a/crates/coordination/src/passthrough/agent/segments.rs
+++ b/crates/coordination/src/passthrough/agent/segments.rs
@@ -10,6 +10,7 @@
     cardamomloom_protocol::passthrough::{
         AgentSetDigest, FlowAbsence, FlowId, RelayHeader, RelayKind, RunId, Segment,
     },
+    log::debug,
     std::{collections::BTreeSet, net::Ipv4Addr},
 };
 
@@ -106,6 +107,11 @@
                         .collect(),
                     requires_new_servers: now.since(self.started) <= self.options.agent_retention,
                 };
+                debug!(
+                    event = "lookup_started", flow:%, asked_agents = query.asked_agents.len(),
+                    requires_new_servers = query.requires_new_servers;
+                    "owner of a flow is looked up"
+                );
                 self.lookups.start(now, query);
             }
             let all_agents = self.service_hosts.iter().map(|host| host.agent);
--- a/crates/daemon/src/passthrough/agent.rs
+++ b/crates/daemon/src/passthrough/agent.rs
@@ -6,6 +6,7 @@
         Result,
         log_limit::LogRateLimiter,
         node::{Event, NodeRuntime, TICK, run_loop},
+        server_check::is_server_absent,
         sockets::{Outbox, PacketSocket},
     },
     crate::settings::{PassThroughAgentSettings, PassThroughSettings},
@@ -55,13 +56,19 @@
         domain: settings.domain.clone(),
         server: agent.server_address,
     };
+    let started = runtime.clock.now();
+    let mut state = Agent::new(
+        AgentOptions::default(),
+        identity,
+        &settings.seed_addresses(),
+        started,
+    );
+    if is_server_absent(agent.server_address).await {
+        // No flow is open yet, so that there is nothing to reset.
+        state.on_server_absent(started, &mut Vec::new());
+    }
     let node = AgentNode {
-        agent: Agent::new(
-            AgentOptions::default(),
-            identity,
-            &settings.seed_addresses(),
-            runtime.clock.now(),
-        ),
+        agent: state,
         io: PacketIo {
             key: settings.key()?,
             data_port: settings.data_address.port(),
@@ -173,11 +180,16 @@
                 let _ = reply.send(true);
                 self.send_control_messages(now);
             }
-            Event::ServerAbsent { asked_at } => {
-                self.agent.on_server_absent(asked_at, &mut self.actions);
-                self.execute_actions(now, &[]);
+            Event::ServerChecked {
+                asked_at,
+                is_absent,
+            } => {
+                self.runtime.server_checker.finish();
+                if is_absent {
+                    self.agent.on_server_absent(asked_at, &mut self.actions);
+                    self.execute_actions(now, &[]);
+                }
             }
-            Event::ServerChecked => self.runtime.server_checker.finish(),
             Event::Seeds(seeds) => self.agent.add_balancers(now, seeds),
             Event::Stop => {
                 info!(
--- a/crates/daemon/src/passthrough/balancer.rs
+++ b/crates/daemon/src/passthrough/balancer.rs
@@ -149,8 +149,7 @@
             Event::ServerPacketsReady
             | Event::Report(..)
             | Event::Departure(..)
-            | Event::ServerAbsent { .. }
-            | Event::ServerChecked => {}
+            | Event::ServerChecked { .. } => {}
         }
     }
 
--- a/crates/daemon/src/passthrough/node.rs
+++ b/crates/daemon/src/passthrough/node.rs
@@ -83,13 +83,13 @@
     Report(HostReport, oneshot::Sender<bool>),
     /// The backend server instance with this id has left; the reply acknowledges it.
     Departure(Arc<str>, oneshot::Sender<bool>),
-    /// The port of the backend server refused a connection that was attempted at this time.
-    ServerAbsent {
-        /// Time at which the connection was attempted.
+    /// A check whether the backend server runs has ended.
+    ServerChecked {
+        /// Time at which a connection was attempted.
         asked_at: Time,
+        /// Whether the port of the backend server refused the connection.
+        is_absent: bool,
     },
-    /// A check whether the backend server runs has ended.
-    ServerChecked,
     /// The settings file was read again and names these seeds.
     Seeds(Vec<Ipv4Addr>),
     /// The process received a stop signal.
