Queue SYNs for a cold host until its limit is known

Cause: after a loss of power hosts are cold, and their agents get the catalogue, which holds the limit, some 100 ms after the balancers. Lost flows are reset only 500 ms after the last agent was found. Change: such SYNs wait in the queue of the agent, and are delivered when the limit is known and allows them. The known agents must be unchanged for 300 ms, in which each announces itself, or for 1.2 intervals of announcements. A host counts as cold 10 ms longer than its report says: the random sequences showed that the waiting flows reached it all at once a moment too early, because reports round down (20 flows in a second at a limit of 6).

--- a/crates/coordination/src/passthrough/agent/admission.rs
+++ b/crates/coordination/src/passthrough/agent/admission.rs
@@ -42,8 +42,9 @@
         self.unanswered_since.get_or_insert(now);
     }
 
-    /// Delivers queued SYNs to the backend server while it has capacity.
-    pub(super) fn deliver_queued_syns(&mut self, now: Time, actions: &mut Vec<Action>) {
+    /// Delivers queued SYNs to the backend server while it has capacity. Besides the packets of the
+    /// backend server, a new catalogue and the passing of time can give it capacity.
+    pub fn deliver_queued_syns(&mut self, now: Time, actions: &mut Vec<Action>) {
         while !self.syn_queue.is_empty()
             && self.has_waiting_capacity()
             && self.accepts_flows(now)
--- a/crates/coordination/src/passthrough/agent/control.rs
+++ b/crates/coordination/src/passthrough/agent/control.rs
@@ -465,6 +465,7 @@
             .collect()
     }
 
+    /// Returns the interval of announcements, which grows with the number of balancers.
     pub(super) fn announcement_interval(&self) -> Span {
         let options = &self.options;
         paced_interval(
--- a/crates/coordination/src/passthrough/agent/host.rs
+++ b/crates/coordination/src/passthrough/agent/host.rs
@@ -48,7 +48,7 @@
             run: run_of(report),
             state: report.state,
             slots: report.slots,
-            cold_until: now + Span::from_millis(report.cold_left_ms),
+            cold_until: cold_end(now, report),
             last_report: now,
             instance: report.instance.clone(),
             started_unix_ms: report.started_unix_ms,
@@ -90,7 +90,8 @@
         self.sequence = report.sequence;
         self.last_report = now;
         self.slots = report.slots;
-        self.cold_until = now + Span::from_millis(report.cold_left_ms);
+        let remaining_margin = self.cold_until.min(now + COLD_END_MARGIN);
+        self.cold_until = cold_end(now, report).max(remaining_margin);
         // Within one run, a backend server that drains does not become ready again.
         if self.state != HostReportState::Ready || report.state == self.state {
             return ReportOutcome::Known;
@@ -100,6 +101,17 @@
     }
 }
 
+/// Time for which a host counts as cold beyond the time that its report states, which is rounded down.
+/// Without it, flows that wait for the end of the limit reach the host a moment too early, all at once.
+const COLD_END_MARGIN: Span = Span::from_millis(10);
+
+fn cold_end(now: Time, report: &HostReport) -> Time {
+    match report.cold_left_ms {
+        0 => now,
+        left_ms => now + Span::from_millis(left_ms) + COLD_END_MARGIN,
+    }
+}
+
 /// Returns the nonzero identifier of the run that a report belongs to.
 fn run_of(report: &HostReport) -> RunId {
     let mut hasher = DefaultHasher::new();
--- a/crates/coordination/src/passthrough/agent/mod.rs
+++ b/crates/coordination/src/passthrough/agent/mod.rs
@@ -381,8 +381,11 @@
             return;
         }
         if !self.is_within_cold_rate(now) {
-            let relay = self.relay_overloaded(header, &flow, None);
-            actions.push(relay.unwrap_or(Action::Drop(DropReason::NoHost)));
+            if let Some(relay) = self.relay_overloaded(header, &flow, None) {
+                actions.push(relay);
+            } else {
+                self.queue_syn(now, flow, header, segment, packet);
+            }
             return;
         }
         if let Some(overload_score) = self.overload_score(now)
@@ -393,22 +396,35 @@
             return;
         }
         if !self.has_waiting_capacity() {
-            self.syn_queue.push(
-                now,
-                QueuedSyn {
-                    flow,
-                    priority: self.catalogue.priority(flow.service),
-                    retransmissions: segment.acknowledgment,
-                    header: *header,
-                    packet: packet.into(),
-                },
-            );
+            self.queue_syn(now, flow, header, segment, packet);
             return;
         }
         self.accept_flow(now, flow, header, packet);
         actions.push(Action::Deliver);
     }
 
+    /// Queues the SYN of a flow until the host has room, or until the limit of a cold host is known
+    /// and allows the flow.
+    fn queue_syn(
+        &mut self,
+        now: Time,
+        flow: FlowId,
+        header: &RelayHeader,
+        segment: &Segment,
+        packet: &[u8],
+    ) {
+        self.syn_queue.push(
+            now,
+            QueuedSyn {
+                flow,
+                priority: self.catalogue.priority(flow.service),
+                retransmissions: segment.acknowledgment,
+                header: *header,
+                packet: packet.into(),
+            },
+        );
+    }
+
     /// Informs the agent that looks up a flow when the backend server rejected the packet that was
     /// delivered to find out whether it holds the flow.
     fn report_failed_probe(
--- a/crates/coordination/src/passthrough/agent/options.rs
+++ b/crates/coordination/src/passthrough/agent/options.rs
@@ -50,7 +50,7 @@
     /// flow. It is longer than any request takes behind a full queue.
     pub abandoned_after: Span,
     /// Least time for which the known agents of the service must not have changed before a flow that
-    /// none of them holds is reset. Agents announce themselves twice in it.
+    /// none of them holds is reset. Every agent announces itself in it.
     pub min_settle_span: Span,
     /// Time for which an agent of the service that balancers no longer list may still own a flow. It
     /// is as long as balancers list an agent that is silent.
@@ -95,7 +95,7 @@
             busy_host_probes: 3,
             outcomes: OutcomeOptions::default(),
             abandoned_after: Span::from_secs(1),
-            min_settle_span: Span::from_millis(500),
+            min_settle_span: Span::from_millis(300),
             agent_retention: Span::from_secs(20),
             announcement_interval: Span::from_millis(250),
             max_announcements_per_s: 80,
--- a/crates/coordination/src/passthrough/agent/segments.rs
+++ b/crates/coordination/src/passthrough/agent/segments.rs
@@ -187,7 +187,7 @@
         let settle_span = self
             .options
             .min_settle_span
-            .max(Span(self.announcement_interval().0 * 2));
+            .max(Span(self.announcement_interval().0 * 6 / 5));
         let is_recent = self
             .control
             .last_balancer_contact
--- a/crates/daemon/src/passthrough/agent.rs
+++ b/crates/daemon/src/passthrough/agent.rs
@@ -157,6 +157,7 @@
                 self.runtime.snapshot_fetcher.finish();
                 if let Some(snapshot) = snapshot {
                     self.agent.on_snapshot(now, *snapshot);
+                    self.update_runtime(now);
                 }
             }
             // Agents serve no snapshots.
@@ -307,6 +308,8 @@
     /// Applies the state of the agent to the runtime: readiness, reading of the store, and fetching
     /// of snapshots from peers.
     fn update_runtime(&mut self, now: Time) {
+        self.agent.deliver_queued_syns(now, &mut self.actions);
+        self.execute_actions(now, &[]);
         self.runtime.is_ready.store(true, Ordering::Relaxed);
         self.runtime
             .set_store_access(self.agent.store_access(now), self.agent.confirmed_ago(now));
--- a/crates/standins/src/passthrough/simulation/events.rs
+++ b/crates/standins/src/passthrough/simulation/events.rs
@@ -213,6 +213,7 @@
         let now = self.now;
         let mut outgoing = Vec::new();
         let mut snapshot_source = None;
+        let mut actions = Vec::new();
         if let Some(process) = self.balancers.get_mut(&address) {
             outgoing = process.core.on_tick(now);
             let access = process.core.store_access(now);
@@ -233,6 +234,7 @@
             snapshot_source = process.core.snapshot_source(now);
         } else if let Some(process) = self.agents.get_mut(&address) {
             outgoing = process.core.on_tick(now);
+            process.core.deliver_queued_syns(now, &mut actions);
             let access = process.core.store_access(now);
             if access != StoreAccess::None {
                 self.store_follower_ticks += 1;
@@ -244,6 +246,7 @@
             }
             snapshot_source = process.core.snapshot_source();
         }
+        self.execute(address, actions, &[]);
         self.send_control(address, outgoing);
         self.apply_snapshot(address, snapshot_source);
     }
