Hand only responsive hosts to a balancer that starts, and sum up changes of hosts

Operators of similar systems reported that a server that had left was in use again after a restart. Changes of hosts beyond 16 in half a second are summed up in one line (hosts_changed); a start at 200 hosts wrote one line for each.

--- a/crates/coordination/src/passthrough/balancer/control.rs
+++ b/crates/coordination/src/passthrough/balancer/control.rs
@@ -63,9 +63,43 @@
     pub accepts_new: bool,
 }
 
+/// Changes of hosts in [`HOST_CHANGES_SPAN`] that the log reports one by one. The others are summed
+/// up, so that the log of a fleet does not grow with the square of its size.
+const MAX_SINGLE_HOST_CHANGES: usize = 16;
+
+/// Interval of the summaries of further changes of hosts.
+const HOST_CHANGES_SPAN: Span = Span::from_millis(500);
+
+/// Changes of hosts since the last summary.
+#[derive(Debug, Default)]
+struct HostChanges {
+    since: Time,
+    count: usize,
+}
+
+impl HostChanges {
+    /// Counts a change. Returns whether it gets a line of its own.
+    const fn record(&mut self) -> bool {
+        self.count += 1;
+        self.count <= MAX_SINGLE_HOST_CHANGES
+    }
+
+    /// Starts a new interval when the present one is over. Returns the number of changes that had no
+    /// line of their own, if there are any.
+    fn take_summary(&mut self, now: Time) -> Option<usize> {
+        if now.since(self.since) < HOST_CHANGES_SPAN {
+            return None;
+        }
+        self.since = now;
+        let count = std::mem::take(&mut self.count);
+        (count > MAX_SINGLE_HOST_CHANGES).then(|| count - MAX_SINGLE_HOST_CHANGES)
+    }
+}
+
 #[derive(Debug, Default)]
 pub(super) struct ControlState {
     next_heartbeat: Time,
+    host_changes: HostChanges,
     /// Counts heartbeat rounds and snapshot requests. It selects the position at which the list of
     /// balancers starts, and the source of a snapshot.
     round: usize,
@@ -81,6 +115,7 @@
     /// hosts and returns the heartbeats to send.
     pub fn on_tick(&mut self, now: Time) -> Vec<OutgoingMessage> {
         self.hosts.on_tick(now);
+        self.log_host_changes(now);
         if now < self.control.next_heartbeat {
             return Vec::new();
         }
@@ -92,11 +127,27 @@
         self.peers.expire(now);
         self.control.round += 1;
         for agent in self.hosts.expire(now) {
+            if !self.control.host_changes.record() {
+                continue;
+            }
             info!(event = "host_forgotten", agent:%; "host removed: no message from its agent within the timeout");
         }
         self.heartbeats_to_balancers(now)
     }
 
+    /// Logs the changes of hosts that had no line of their own, once in [`HOST_CHANGES_SPAN`].
+    fn log_host_changes(&mut self, now: Time) {
+        let Some(changes) = self.control.host_changes.take_summary(now) else {
+            return;
+        };
+        let ready = self
+            .hosts
+            .iter()
+            .filter(|record| self.hosts.accepts_new(now, record))
+            .count();
+        info!(event = "hosts_changed", changes, hosts = self.hosts.len(), ready; "more hosts are new, changed or removed");
+    }
+
     /// Processes a control message and returns the messages to send.
     pub fn on_message(&mut self, now: Time, message: PeerMessage) -> Vec<OutgoingMessage> {
         match message {
@@ -163,7 +214,8 @@
         outgoing
     }
 
-    /// Returns a copy of the state for a process that starts or lags behind.
+    /// Returns a copy of the state for a process that starts or lags behind. It has only the hosts
+    /// whose agents are responsive: the receiver cannot tell the others from hosts that are well.
     #[must_use]
     pub fn snapshot(&self, now: Time) -> Snapshot {
         Snapshot {
@@ -173,7 +225,7 @@
             balancers: self.peers.contacted().chain([self.own_address]).collect(),
             hosts: self
                 .hosts
-                .iter()
+                .responsive(now)
                 .map(|record| record.announcement.clone())
                 .collect(),
         }
@@ -292,7 +344,7 @@
     fn on_announcement(&mut self, now: Time, announcement: Announcement) -> Vec<OutgoingMessage> {
         let answer = self.answer(now, &announcement, announcement.asks_hosts);
         let (agent, run, state) = (announcement.agent, announcement.run, announcement.state);
-        if self.hosts.on_announcement(now, announcement) {
+        if self.hosts.on_announcement(now, announcement) && self.control.host_changes.record() {
             info!(event = "host_changed", agent:%, life:% = run, standing:? = state; "host is new, or announced a new run, state or service");
         }
         answer
--- a/crates/coordination/src/passthrough/hosts.rs
+++ b/crates/coordination/src/passthrough/hosts.rs
@@ -178,6 +178,12 @@
         self.records.values()
     }
 
+    /// Returns the entries of the hosts whose agents are responsive.
+    pub fn responsive(&self, now: Time) -> impl Iterator<Item = &HostRecord> {
+        self.iter()
+            .filter(move |record| self.is_responsive(now, record))
+    }
+
     /// Returns the entries of the hosts of a service.
     pub fn of_service<'a>(
         &'a self,
@@ -244,7 +250,7 @@
     /// Returns whether any agent is responsive.
     #[must_use]
     pub fn has_responsive_agent(&self, now: Time) -> bool {
-        self.iter().any(|record| self.is_responsive(now, record))
+        self.responsive(now).next().is_some()
     }
 
     /// Returns the number of hosts.
