--- a/crates/coordination/src/passthrough/agent/control.rs
+++ b/crates/coordination/src/passthrough/agent/control.rs
@@ -1,19 +1,21 @@
 //! Reports of the backend server, control messages, and the shutdown of an agent.
 
 use {
-    super::{Action, Agent, ColdStartBucket, Host, HostReportState, Phase, ReportOutcome},
+    super::{
+        Action, Agent, ColdStartBucket, Host, HostReportState, Phase, ReportOutcome,
+        host::is_new_run, host_list::PartialHostList,
+    },
     crate::passthrough::{OutgoingMessage, StoreAccess, as_millis_u16, paced_interval, stagger},
     cardamomloom_core::{Span, Time},
     cardamomloom_protocol::{
         control::HostState,
         passthrough::{
             AgentDeparture, AgentHeartbeat, Announcement, BalancerHeartbeat, CatalogueDocument,
-            DomainStatus, HostAdvertisement, HostListDigest, HostListPart, HostReport, PeerMessage,
-            Snapshot,
+            DomainStatus, HostListDigest, HostReport, PeerMessage, Snapshot,
         },
     },
     log::{info, warn},
-    std::{collections::BTreeMap, net::Ipv4Addr},
+    std::net::Ipv4Addr,
 };
 
 /// Time after a change of the state in which the full announcement is repeated, so that a lost
@@ -23,20 +25,6 @@
 /// Admitted share of new flows below which the log reports that the backend server fails requests.
 const FAILING_ADMITTED_SHARE: f64 = 0.5;
 
-/// Sequence number up to which a report shows that its backend server started a few seconds ago.
-const MAX_NEW_RUN_SEQUENCE: u64 = 4;
-
-fn is_new_run(report: &HostReport) -> bool {
-    report.sequence <= MAX_NEW_RUN_SEQUENCE
-}
-
-/// Parts of a list of hosts that have arrived.
-#[derive(Debug, Default)]
-struct PartialHostList {
-    list: HostListDigest,
-    parts: BTreeMap<u8, Vec<HostAdvertisement>>,
-}
-
 #[derive(Debug, Default)]
 pub(super) struct ControlState {
     next_announcement: Time,
@@ -48,9 +36,9 @@
     pub agents_changed_at: Time,
     /// Time of the last heartbeat of a balancer.
     pub last_balancer_contact: Option<Time>,
-    partial_list: PartialHostList,
+    pub partial_list: PartialHostList,
     /// Digest of the hosts of the service that the agent knows.
-    hosts_digest: HostListDigest,
+    pub hosts_digest: HostListDigest,
     stopping_since: Option<Time>,
     /// A balancer that has a newer catalogue.
     newer_balancer: Option<Ipv4Addr>,
@@ -369,50 +357,6 @@
         OutgoingMessage::to_each(receivers, &message).collect()
     }
 
-    /// Collects the parts of a list of hosts, and replaces the present list when all have arrived.
-    fn on_host_list_part(&mut self, now: Time, part: HostListPart) {
-        let partial = &mut self.control.partial_list;
-        if partial.list != part.list {
-            *partial = PartialHostList {
-                list: part.list,
-                parts: BTreeMap::new(),
-            };
-        }
-        partial.parts.insert(part.position, part.hosts);
-        if partial.parts.len() < usize::from(part.parts) {
-            return;
-        }
-        let parts = std::mem::take(partial).parts.into_values();
-        let hosts: Vec<HostAdvertisement> = parts.flatten().collect();
-        if HostListDigest::of(&hosts) != part.list {
-            warn!(event = "host_list_rejected", hosts = hosts.len(); "list of hosts rejected: its parts do not match its digest");
-            return;
-        }
-        self.apply_host_list(now, hosts);
-        self.touch_listed_agents(now);
-    }
-
-    fn apply_host_list(&mut self, now: Time, hosts: Vec<HostAdvertisement>) {
-        self.control.hosts_digest = HostListDigest::of(&hosts);
-        let agents = |hosts: &[HostAdvertisement]| -> Vec<Ipv4Addr> {
-            hosts.iter().map(|host| host.agent).collect()
-        };
-        if agents(&hosts) != agents(&self.service_hosts) {
-            self.control.agents_changed_at = now;
-        }
-        self.service_hosts = hosts;
-    }
-
-    /// Records that balancers list the present agents of the service, and forgets those that have
-    /// not been listed for long.
-    fn touch_listed_agents(&mut self, now: Time) {
-        let retention = self.options.agent_retention;
-        self.agents_listed_at
-            .retain(|_, listed_at| now.since(*listed_at) <= retention);
-        let listed_agents = self.service_hosts.iter().map(|host| (host.agent, now));
-        self.agents_listed_at.extend(listed_agents);
-    }
-
     /// Resets the flows that were opened before the last report of the previous run. Later ones may
     /// belong to the current run; if they do not, the backend server returns their packets.
     fn reset_flows(&mut self, previous_report: Time, actions: &mut Vec<Action>) {
--- a/crates/coordination/src/passthrough/agent/host.rs
+++ b/crates/coordination/src/passthrough/agent/host.rs
@@ -155,3 +155,11 @@
         }
     }
 }
+
+/// Sequence number up to which a report shows that its backend server started a few seconds ago.
+const MAX_NEW_RUN_SEQUENCE: u64 = 4;
+
+/// Returns whether a report shows that its backend server started a few seconds ago.
+pub(super) const fn is_new_run(report: &HostReport) -> bool {
+    report.sequence <= MAX_NEW_RUN_SEQUENCE
+}
--- a/crates/coordination/src/passthrough/agent/mod.rs
+++ b/crates/coordination/src/passthrough/agent/mod.rs
@@ -5,6 +5,7 @@
 mod control;
 mod flows;
 mod host;
+mod host_list;
 mod lookup;
 mod options;
 mod outcomes;
--- a/crates/coordination/src/passthrough/balancer/control.rs
+++ b/crates/coordination/src/passthrough/balancer/control.rs
@@ -1,24 +1,23 @@
 //! Control messages of a balancer, and the choice of the balancers that read the store.
 
 use {
-    super::Balancer,
+    super::{
+        Balancer,
+        host_list::{HostChanges, MAX_ADVERTISEMENTS, host_list_parts},
+    },
     crate::passthrough::{
         OutgoingMessage, ReaderCensus, StoreAccess, as_millis_u16, paced_interval,
     },
     cardamomloom_core::{DomainName, Span, Time},
     cardamomloom_protocol::passthrough::{
         AgentHeartbeat, Announcement, BalancerHeartbeat, CatalogueDocument, CatalogueVersion,
-        DomainStatus, HostAdvertisement, HostListDigest, HostListPart, PeerMessage, Registration,
-        Snapshot, StoreRevision,
+        DomainStatus, HostAdvertisement, HostListDigest, PeerMessage, Registration, Snapshot,
+        StoreRevision,
     },
     log::info,
     std::net::Ipv4Addr,
 };
 
-/// Maximum number of hosts in a heartbeat to an agent or in a part of a list, so that it fits a
-/// datagram.
-const MAX_ADVERTISEMENTS: usize = 64;
-
 /// Maximum number of balancers in a heartbeat, so that it fits a datagram. The list starts at
 /// another balancer each time, so that a receiver learns all of them.
 const MAX_BALANCERS: usize = 48;
@@ -63,43 +62,10 @@
     pub accepts_new: bool,
 }
 
-/// Changes of hosts in [`HOST_CHANGES_SPAN`] that the log reports one by one. The others are summed
-/// up, so that the log of a fleet does not grow with the square of its size.
-const MAX_SINGLE_HOST_CHANGES: usize = 16;
-
-/// Interval of the summaries of further changes of hosts.
-const HOST_CHANGES_SPAN: Span = Span::from_millis(500);
-
-/// Changes of hosts since the last summary.
-#[derive(Debug, Default)]
-struct HostChanges {
-    since: Time,
-    count: usize,
-}
-
-impl HostChanges {
-    /// Counts a change. Returns whether it gets a line of its own.
-    const fn record(&mut self) -> bool {
-        self.count += 1;
-        self.count <= MAX_SINGLE_HOST_CHANGES
-    }
-
-    /// Starts a new interval when the present one is over. Returns the number of changes that had no
-    /// line of their own, if there are any.
-    fn take_summary(&mut self, now: Time) -> Option<usize> {
-        if now.since(self.since) < HOST_CHANGES_SPAN {
-            return None;
-        }
-        self.since = now;
-        let count = std::mem::take(&mut self.count);
-        (count > MAX_SINGLE_HOST_CHANGES).then(|| count - MAX_SINGLE_HOST_CHANGES)
-    }
-}
-
 #[derive(Debug, Default)]
 pub(super) struct ControlState {
     next_heartbeat: Time,
-    host_changes: HostChanges,
+    pub host_changes: HostChanges,
     /// Counts heartbeat rounds and snapshot requests. It selects the position at which the list of
     /// balancers starts, and the source of a snapshot.
     round: usize,
@@ -135,19 +101,6 @@
         self.heartbeats_to_balancers(now)
     }
 
-    /// Logs the changes of hosts that had no line of their own, once in [`HOST_CHANGES_SPAN`].
-    fn log_host_changes(&mut self, now: Time) {
-        let Some(changes) = self.control.host_changes.take_summary(now) else {
-            return;
-        };
-        let ready = self
-            .hosts
-            .iter()
-            .filter(|record| self.hosts.accepts_new(now, record))
-            .count();
-        info!(event = "hosts_changed", changes, hosts = self.hosts.len(), ready; "more hosts are new, changed or removed");
-    }
-
     /// Processes a control message and returns the messages to send.
     pub fn on_message(&mut self, now: Time, message: PeerMessage) -> Vec<OutgoingMessage> {
         match message {
@@ -541,20 +494,3 @@
             .map(|ago| u32::try_from(ago.as_millis()).unwrap_or(u32::MAX))
     }
 }
-
-/// Splits a list of hosts into parts that fit a datagram each.
-fn host_list_parts(list: HostListDigest, hosts: &[HostAdvertisement]) -> Vec<PeerMessage> {
-    let chunks = hosts.chunks(MAX_ADVERTISEMENTS);
-    let parts = u8::try_from(chunks.len()).unwrap_or(u8::MAX);
-    (0..parts)
-        .zip(chunks)
-        .map(|(position, hosts)| {
-            PeerMessage::HostListPart(HostListPart {
-                list,
-                position,
-                parts,
-                hosts: hosts.to_vec(),
-            })
-        })
-        .collect()
-}
