--- a/crates/coordination/src/passthrough/agent/control.rs
+++ b/crates/coordination/src/passthrough/agent/control.rs
@@ -124,8 +124,8 @@
 
     /// Processes the proof that no backend server ran at `asked_at`, because its port refused a
     /// connection. Resets of the flows that were opened before are appended to `actions`, and the
-    /// host accepts no new ones until the next report. A backend server that has reported since runs
-    /// again; its own reports are then decisive.
+    /// host accepts no new ones until the next report. If the backend server has reported since
+    /// `asked_at`, it runs again, and its flows are kept.
     pub fn on_server_absent(&mut self, asked_at: Time, actions: &mut Vec<Action>) {
         self.observed_server_start = true;
         if self
@@ -287,8 +287,8 @@
         })
     }
 
-    /// Returns the messages with which the agent takes its leave before it exits. If its host
-    /// certainly holds no flow, balancers and agents need not look for flows there any more.
+    /// Returns the messages that announce the exit of the agent. There are none if its host may hold
+    /// flows, for which balancers and agents must still look.
     pub fn departure_messages(&mut self, now: Time) -> Vec<OutgoingMessage> {
         if self.flows.active() > 0 || self.may_hold_unknown_flows(now) {
             return Vec::new();
--- a/crates/coordination/src/passthrough/agent/lookup.rs
+++ b/crates/coordination/src/passthrough/agent/lookup.rs
@@ -31,7 +31,7 @@
     requires_new_servers: bool,
 }
 
-/// What the owner of a flow is looked up by.
+/// Parameters of an owner lookup.
 #[derive(Debug)]
 pub(super) struct LookupQuery {
     pub flow: FlowId,
--- a/crates/coordination/src/passthrough/balancer/control.rs
+++ b/crates/coordination/src/passthrough/balancer/control.rs
@@ -168,7 +168,7 @@
     }
 
     /// Returns a copy of the state for a process that starts or lags behind. It has only the hosts
-    /// whose agents are responsive: the receiver cannot tell the others from hosts that are well.
+    /// whose agents are responsive, because the receiver cannot distinguish the others from these.
     #[must_use]
     pub fn snapshot(&self, now: Time) -> Snapshot {
         Snapshot {
--- a/crates/coordination/tests/passthrough_store_calls.rs
+++ b/crates/coordination/tests/passthrough_store_calls.rs
@@ -58,7 +58,7 @@
 fn verify_that_balancers_take_over_from_failed_readers_one_after_the_other() {
     let mut elections = elections();
     accesses(&mut elections, 0, 2);
-    // The two readers fail at 1 s. Nobody else knows, and each balancer sees none of them.
+    // The two readers fail at 1 s, and no other balancer becomes a reader.
     let counts: Vec<usize> = (0..60)
         .map(|step| followers(&accesses(&mut elections, 1_000 + step * 100, 0)))
         .collect();
