Log the era of the store and statuses that are rejected as outdated

Change: the client reads the header with the era, statuses carry it, the readers log store_era and set a gauge, and a rejected status is logged once with the era and revision of both sides. An answer that may lag has no known era. No decision changes.

--- a/crates/coordination/src/passthrough/catalogue.rs
+++ b/crates/coordination/src/passthrough/catalogue.rs
@@ -24,6 +24,8 @@
     /// may still be open.
     retargeted: HashSet<SocketAddrV4>,
     domain_status: Option<DomainStatus>,
+    /// Last status that was logged as outdated.
+    outdated_status: Option<DomainStatus>,
     /// Latest time at which the store is known to have confirmed this replica.
     confirmed_at: Option<Time>,
 }
@@ -69,12 +71,25 @@
     /// returns whether the set of domains that are out of service changed.
     pub fn apply_domain_status(&mut self, status: DomainStatus) -> bool {
         let current = self.domain_status.as_ref();
-        if current.is_some_and(|current| status.revision <= current.revision) {
+        if let Some(current) = current
+            && status.revision <= current.revision
+        {
+            let is_other = status.domains_out != current.domains_out
+                && self.outdated_status.as_ref() != Some(&status);
+            if is_other {
+                info!(
+                    event = "domain_status_outdated", era = status.era.map(|era| era.0),
+                    revision:% = status.revision, domains:? = status.domains_out,
+                    current_era = current.era.map(|era| era.0), current_revision:% = current.revision;
+                    "outdated status of the failure domains ignored"
+                );
+                self.outdated_status = Some(status);
+            }
             return false;
         }
         let is_change = current.is_none_or(|current| current.domains_out != status.domains_out);
         if is_change {
-            info!(event = "domains_out_changed", revision:% = status.revision, domains:? = status.domains_out; "set of failure domains out of service changed");
+            info!(event = "domains_out_changed", era = status.era.map(|era| era.0), revision:% = status.revision, domains:? = status.domains_out; "set of failure domains out of service changed");
         }
         self.domain_status = Some(status);
         is_change
--- a/crates/coordination/tests/passthrough_hostile_messages.rs
+++ b/crates/coordination/tests/passthrough_hostile_messages.rs
@@ -14,7 +14,7 @@
             AgentDeparture, AgentHeartbeat, AgentSetDigest, Announcement, BalancerHeartbeat,
             CatalogueVersion, DomainStatus, FlowAbsence, FlowId, FlowOwner, HostAdvertisement,
             HostListDigest, HostListPart, HostReport, HostReportState, PeerMessage, RelayHeader,
-            RelayKind, RunId, Segment, SegmentFlags, ServiceTag, StoreRevision,
+            RelayKind, RunId, Segment, SegmentFlags, ServiceTag, StoreEra, StoreRevision,
         },
     },
     proptest::prelude::*,
@@ -46,7 +46,9 @@
 }
 
 fn domain_status() -> impl Strategy<Value = Option<DomainStatus>> {
-    prop::option::of(any::<u64>().prop_map(|revision| DomainStatus {
+    let position = (any::<Option<u64>>(), any::<u64>());
+    prop::option::of(position.prop_map(|(era, revision)| DomainStatus {
+        era: era.map(StoreEra),
         revision: StoreRevision(revision),
         domains_out: ["domain-0".parse().expect("valid name")].into(),
     }))
--- a/crates/coordination/tests/passthrough_snapshot.rs
+++ b/crates/coordination/tests/passthrough_snapshot.rs
@@ -83,6 +83,7 @@
         },
     );
     let status = DomainStatus {
+        era: None,
         revision: StoreRevision(1),
         domains_out: BTreeSet::new(),
     };
--- a/crates/daemon/src/passthrough/store_reader.rs
+++ b/crates/daemon/src/passthrough/store_reader.rs
@@ -14,7 +14,7 @@
             ObjectStore, StoredObject, WatchOutcome,
         },
     },
-    cardamomloom_protocol::passthrough::{DomainStatus, StoreRevision},
+    cardamomloom_protocol::passthrough::{DomainStatus, StoreEra, StorePosition},
     log::{info, warn},
     std::{collections::BTreeSet, time::Duration},
     tokio::sync::{mpsc, watch},
@@ -76,6 +76,8 @@
     /// Notified after every successful list or watch, once its objects are sent as events.
     completed_reads: watch::Sender<bool>,
     domains_out: BTreeSet<DomainName>,
+    /// Last known era of the store.
+    era: Option<StoreEra>,
     is_available: bool,
     backoff: Duration,
 }
@@ -101,6 +103,7 @@
                 events: events.clone(),
                 completed_reads,
                 domains_out: BTreeSet::new(),
+                era: None,
                 is_available: true,
                 backoff: MIN_BACKOFF,
             };
@@ -159,7 +162,7 @@
     /// Lists all objects once, and then waits until the mode changes.
     async fn bootstrap(&mut self) -> Result<()> {
         let kind = self.kind.name();
-        let Listing { objects, revision } = self.store.list(kind, Freshness::MayLag).await?;
+        let Listing { objects, position } = self.store.list(kind, Freshness::MayLag).await?;
         if self.kind == ObjectKind::Catalogue && objects.is_empty() {
             return Err(Error::new(
                 ErrorKind::NotFound,
@@ -170,29 +173,30 @@
         for object in &objects {
             self.apply(object, false).await;
         }
-        self.send_domain_status(revision).await;
+        self.send_domain_status(position).await;
         self.backoff = MIN_BACKOFF;
         std::future::pending().await
     }
 
     async fn list_and_watch(&mut self) -> Result<()> {
         let kind = self.kind.name();
-        let Listing { objects, revision } = self.store.list(kind, Freshness::Latest).await?;
+        let Listing { objects, position } = self.store.list(kind, Freshness::Latest).await?;
         if !std::mem::replace(&mut self.is_available, true) {
-            info!(event = "store_regained", kind, revision:%; "store is available again");
+            info!(event = "store_regained", kind, revision:% = position.revision; "store is available again");
         }
+        self.observe_era(position);
         self.backoff = MIN_BACKOFF;
         self.domains_out.clear();
         for object in &objects {
             self.apply(object, false).await;
         }
-        self.publish(revision).await;
-        let mut revision = revision;
+        self.publish(position).await;
+        let mut position = position;
         loop {
-            let answer = self.store.watch(kind, revision, WATCH_TIMEOUT).await?;
-            let WatchOutcome::Changes(changes, next_revision) = answer else {
+            let answer = self.store.watch(kind, position, WATCH_TIMEOUT).await?;
+            let WatchOutcome::Changes(changes, next_position) = answer else {
                 info!(
-                    event = "store_history_gone", kind, revision:%;
+                    event = "store_history_gone", kind, revision:% = position.revision;
                     "store no longer has the changes after this revision; listing all objects again"
                 );
                 return Ok(());
@@ -200,8 +204,9 @@
             for Change { object, deleted } in &changes {
                 self.apply(object, *deleted).await;
             }
-            revision = next_revision;
-            self.publish(revision).await;
+            self.observe_era(next_position);
+            position = next_position;
+            self.publish(position).await;
         }
     }
 
@@ -240,17 +245,34 @@
         }
     }
 
-    /// Reports that the state at `revision` has been read completely.
-    async fn publish(&self, revision: StoreRevision) {
-        self.send_domain_status(revision).await;
+    /// Logs that the store has been restored since the last answer, if its era is another one.
+    fn observe_era(&mut self, position: StorePosition) {
+        let previous = std::mem::replace(&mut self.era, position.era);
+        if previous == position.era {
+            return;
+        }
+        if let Some(era) = position.era {
+            metrics::gauge!("cardamomloom_store_era").set(era.0 as f64);
+        }
+        info!(
+            event = "store_era", kind = self.kind.name(), previous = previous.map(|era| era.0),
+            era = position.era.map(|era| era.0), revision:% = position.revision;
+            "store has another era: this is the first answer, or the store was restored from a copy"
+        );
+    }
+
+    /// Reports that the state at `position` has been read completely.
+    async fn publish(&self, position: StorePosition) {
+        self.send_domain_status(position).await;
         self.completed_reads.send_replace(true);
     }
 
-    async fn send_domain_status(&self, revision: StoreRevision) {
+    async fn send_domain_status(&self, position: StorePosition) {
         if self.kind == ObjectKind::Evacuations {
             let domains_out = self.domains_out.clone();
             self.send(Event::DomainStatus(DomainStatus {
-                revision,
+                era: position.era,
+                revision: position.revision,
                 domains_out,
             }))
             .await;
--- a/crates/protocol/src/passthrough/document.rs
+++ b/crates/protocol/src/passthrough/document.rs
@@ -54,9 +54,23 @@
     CatalogueVersion
 );
 decimal_version!(
-    /// Revision counter of the store; a later state has a higher revision.
+    /// Revision counter of the store; within an era, a later state has a higher revision.
     StoreRevision
 );
+decimal_version!(
+    /// Number of a history of the store. It rises each time the store is restored from a copy, which
+    /// may give out revisions of the previous era again.
+    StoreEra
+);
+
+/// Point in the history of the store.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct StorePosition {
+    /// Era, or `None` if the store has not told it or the answer may be from an earlier one.
+    pub era: Option<StoreEra>,
+    /// Revision within the era.
+    pub revision: StoreRevision,
+}
 
 /// One version of the catalogue.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -111,6 +125,8 @@
 /// Failure domains that are out of service as of a revision of the store.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DomainStatus {
+    /// Era of the store that was read, or `None` if it is unknown.
+    pub era: Option<StoreEra>,
     /// Revision of the store that was read.
     pub revision: StoreRevision,
     /// Failure domains that are out of service.
--- a/crates/protocol/src/passthrough/mod.rs
+++ b/crates/protocol/src/passthrough/mod.rs
@@ -9,7 +9,8 @@
 pub use {
     document::{
         CatalogueDocument, CatalogueVersion, DomainStatus, HostReport, HostReportState,
-        Registration, RouteEntry, RouteTarget, ServiceEntry, StoreRevision,
+        Registration, RouteEntry, RouteTarget, ServiceEntry, StoreEra, StorePosition,
+        StoreRevision,
     },
     header::{LeastLoaded, MAX_VISITED, RELAY_HEADER_BYTES, RelayHeader, RelayKind, ServiceTag},
     message::{
--- a/crates/standins/src/passthrough/simulation/mod.rs
+++ b/crates/standins/src/passthrough/simulation/mod.rs
@@ -193,6 +193,7 @@
             callers: HashMap::new(),
             catalogue: initial_catalogue(&options),
             domain_status: DomainStatus {
+                era: None,
                 revision: StoreRevision(1),
                 domains_out: BTreeSet::new(),
             },
