--- a/crates/coordination/tests/passthrough_scenarios.rs
+++ b/crates/coordination/tests/passthrough_scenarios.rs
@@ -91,6 +91,7 @@
         }
         "apart" => simulation.set_partitioned(balancer, true),
         "store" => simulation.set_store_up(case.take_flag("up").expect("the flag has no value")),
+        "restore-store" => simulation.restore_store(),
         "domain" => {
             let is_out = case.take_flag("out").expect("the flag has no value");
             simulation.set_domain_out(numeric_arg(case, "number", 0), is_out);
--- a/crates/standins/src/passthrough/simulation/faults.rs
+++ b/crates/standins/src/passthrough/simulation/faults.rs
@@ -10,7 +10,7 @@
         balancer::{Balancer, BalancerOptions},
     },
     cardamomloom_core::Span,
-    cardamomloom_protocol::passthrough::{HostReportState, RunId},
+    cardamomloom_protocol::passthrough::{HostReportState, RunId, StoreEra, StoreRevision},
     rand::RngExt,
     std::net::Ipv4Addr,
 };
@@ -161,4 +161,11 @@
         }
         self.domain_status.revision.0 += 1;
     }
+    /// Restores the store from its first copy. Revisions start again, and what operators wrote is
+    /// written again.
+    pub fn restore_store(&mut self) {
+        let status = &mut self.domain_status;
+        status.era = status.era.map(|era| StoreEra(era.0 + 1));
+        status.revision = StoreRevision(1);
+    }
 }
--- a/crates/standins/src/passthrough/simulation/mod.rs
+++ b/crates/standins/src/passthrough/simulation/mod.rs
@@ -17,7 +17,7 @@
     cardamomloom_core::{DomainName, Span, Time},
     cardamomloom_protocol::passthrough::{
         CatalogueDocument, DomainStatus, FlowId, HostReportState, PeerMessage, RelayHeader,
-        StoreRevision,
+        StoreEra, StoreRevision,
     },
     layout::{agent_address, balancer_address, initial_catalogue, server_address, service_route},
     rand::{RngExt, SeedableRng},
@@ -193,7 +193,7 @@
             callers: HashMap::new(),
             catalogue: initial_catalogue(&options),
             domain_status: DomainStatus {
-                era: None,
+                era: Some(StoreEra(1)),
                 revision: StoreRevision(1),
                 domains_out: BTreeSet::new(),
             },
