Order statuses of failure domains by era before revision

What callers saw: after the store came back from an older copy, a failure domain that was taken out went on to get new flows until the revisions of the store had grown past those before the restore.

Cause: a process took the status of the failure domains only at a higher revision than its present one. Revisions are an order within one history of the store; a restore begins another one. Processes repeat their status in heartbeats, so the old one also displaced what starting processes had read. Class: a counter compared across incarnations of its issuer.

The tests of 'Tests of a failure domain taken out after the store was restored' failed before and pass now; the scenario p4_restored_store has new flows 4 s after the failure domain was taken out without this change and none with it.

Why it works: the era rises with each restore, so (era, revision) is one order over all histories. An answer that may lag can be from before the restore, so its era is unknown and ranks below all others.

--- a/crates/coordination/src/passthrough/catalogue.rs
+++ b/crates/coordination/src/passthrough/catalogue.rs
@@ -67,12 +67,12 @@
         true
     }
 
-    /// Replaces the status of the failure domains if `status` has a newer revision. Logs and
-    /// returns whether the set of domains that are out of service changed.
+    /// Replaces the status of the failure domains if `status` is from a later position of the store.
+    /// Logs and returns whether the set of domains that are out of service changed.
     pub fn apply_domain_status(&mut self, status: DomainStatus) -> bool {
         let current = self.domain_status.as_ref();
         if let Some(current) = current
-            && status.revision <= current.revision
+            && status.position() <= current.position()
         {
             let is_other = status.domains_out != current.domains_out
                 && self.outdated_status.as_ref() != Some(&status);
--- a/crates/protocol/src/passthrough/document.rs
+++ b/crates/protocol/src/passthrough/document.rs
@@ -63,7 +63,8 @@
     StoreEra
 );
 
-/// Point in the history of the store.
+/// Point in the history of the store. A position of a later era is later, whatever its revision, and
+/// one of an unknown era is earlier than all others.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct StorePosition {
     /// Era, or `None` if the store has not told it or the answer may be from an earlier one.
@@ -133,6 +134,17 @@
     pub domains_out: BTreeSet<DomainName>,
 }
 
+impl DomainStatus {
+    /// Returns the position in the history of the store that was read.
+    #[must_use]
+    pub const fn position(&self) -> StorePosition {
+        StorePosition {
+            era: self.era,
+            revision: self.revision,
+        }
+    }
+}
+
 /// Registration of a balancer in the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Registration {
