End watches and lists that span a restore of the store

What callers would see: a change that operators write after a restore is not in force, because no reader has seen it.

Cause: a watch continues from a revision. When new writes have reached that revision by the time of the next call, as after a pause of the reader, the store answers with the later changes only. The pages of a list were joined in the same way. Class: a counter compared across incarnations of its issuer.

Evidence: verify_that_a_watch_across_a_restore_reports_lost_history returned two of three changes before this commit; verify_that_a_list_does_not_join_pages_of_two_eras returned a page of each era. A watch whose answer names another era or a lower revision now ends like one whose history is gone, and a list starts again.

--- a/crates/daemon/src/passthrough/store_reader.rs
+++ b/crates/daemon/src/passthrough/store_reader.rs
@@ -197,14 +197,13 @@
             let WatchOutcome::Changes(changes, next_position) = answer else {
                 info!(
                     event = "store_history_gone", kind, revision:% = position.revision;
-                    "store no longer has the changes after this revision; listing all objects again"
+                    "store does not have the changes after this position; listing all objects again"
                 );
                 return Ok(());
             };
             for Change { object, deleted } in &changes {
                 self.apply(object, *deleted).await;
             }
-            self.observe_era(next_position);
             position = next_position;
             self.publish(position).await;
         }
