Register balancers again after a restore of the store

What callers would see: a process that starts after a restore, without a seed that answers, does not find balancers that were added in the span that the restore lost.

Cause: a balancer writes its registration once and compares it with the store after 45 s as a reader and after 6 min otherwise. A restore takes back writes that were acknowledged. Class: an acknowledged write that is taken to be permanent.

Evidence: verify_that_balancers_register_again_after_a_restore, real processes, found no registration 4 s after the restore before this commit, and all three after it. Each balancer learns the era from the status of the failure domains and writes its registration again, spread over 50 ms for each balancer, so that 570 of them make 20 calls/s.

--- a/crates/coordination/src/passthrough/balancer/control.rs
+++ b/crates/coordination/src/passthrough/balancer/control.rs
@@ -12,7 +12,7 @@
     cardamomloom_protocol::passthrough::{
         AgentHeartbeat, Announcement, BalancerHeartbeat, CatalogueDocument, CatalogueVersion,
         DomainStatus, HostAdvertisement, HostListDigest, PeerMessage, Registration, Snapshot,
-        StoreRevision,
+        StoreEra, StoreRevision,
     },
     log::info,
     std::net::Ipv4Addr,
@@ -204,6 +204,12 @@
         self.catalogue.confirmed_ago(now)
     }
 
+    /// Returns the era of the store, if it is known.
+    #[must_use]
+    pub fn store_era(&self) -> Option<StoreEra> {
+        self.catalogue.domain_status()?.era
+    }
+
     /// Chooses how this balancer reads the store: the balancers with the lowest addresses follow it
     /// for all, and one without a catalogue reads it once.
     pub fn store_access(&mut self, now: Time) -> StoreAccess {
--- a/crates/daemon/src/passthrough/balancer.rs
+++ b/crates/daemon/src/passthrough/balancer.rs
@@ -285,6 +285,7 @@
         let access = self.balancer.store_access(now);
         self.runtime
             .set_store_access(access, self.balancer.confirmed_ago(now));
+        self.runtime.set_store_era(self.balancer.store_era());
         self.runtime
             .snapshot_fetcher
             .start(|| self.balancer.snapshot_source(now));
--- a/crates/daemon/src/passthrough/node.rs
+++ b/crates/daemon/src/passthrough/node.rs
@@ -3,7 +3,8 @@
 
 use {
     super::{
-        Result, endpoints, registry,
+        Result, endpoints,
+        registry::{self, RegistrationInputs},
         server_check::check_server,
         sockets::PacketSocket,
         store_reader::{ReadMode, StoreReader},
@@ -19,7 +20,7 @@
         forward::DatagramKey,
         passthrough::{
             CatalogueDocument, DomainStatus, FlowAbsence, FlowOwner, HostReport, PeerMessage,
-            Registration, Snapshot, open, seal,
+            Registration, Snapshot, StoreEra, open, seal,
         },
     },
     cardamomloom_transport::{clock::MonotonicClock, udp::ReceiveBatch},
@@ -108,6 +109,8 @@
     pub is_ready: Arc<AtomicBool>,
     /// Controls what the store readers read.
     pub read_mode: watch::Sender<ReadMode>,
+    /// Era of the store, for the registration of a balancer.
+    store_era: watch::Sender<Option<StoreEra>>,
     /// Fetches snapshots from peers.
     pub snapshot_fetcher: SnapshotFetcher,
     /// Checks whether the backend server runs.
@@ -140,12 +143,14 @@
         let is_ready = Arc::new(AtomicBool::new(false));
         endpoints::start(settings, is_ready.clone(), events.clone()).await?;
         let (read_mode, modes) = watch::channel(ReadMode::Idle);
+        let (store_era, eras) = watch::channel(None);
         let store = ObjectStore::new(settings.store_address, STORE_TIMEOUT)?;
         StoreReader::start(&store, &modes, &events);
         match settings.role {
             PassThroughRole::Balancer { .. } => {
+                let inputs = RegistrationInputs { modes, eras };
                 let registration =
-                    registry::maintain_registration(store.clone(), address, modes, events.clone());
+                    registry::maintain_registration(store.clone(), address, inputs, events.clone());
                 tokio::spawn(registration);
             }
             PassThroughRole::Agent(_) => {
@@ -164,6 +169,7 @@
             control,
             is_ready,
             read_mode,
+            store_era,
             snapshot_fetcher: SnapshotFetcher::new(settings.http_port, events.clone())?,
             server_checker: ServerChecker {
                 clock,
@@ -198,6 +204,12 @@
             is_change
         });
     }
+
+    /// Sets the era of the store, as far as it is known.
+    pub fn set_store_era(&self, era: Option<StoreEra>) {
+        self.store_era
+            .send_if_modified(|current| std::mem::replace(current, era) != era);
+    }
 }
 
 /// Socket for authenticated control messages between processes.
--- a/crates/daemon/src/passthrough/registry.rs
+++ b/crates/daemon/src/passthrough/registry.rs
@@ -3,11 +3,16 @@
 
 use {
     super::{node::Event, store_reader::ReadMode},
+    cardamomloom_coordination::passthrough::stagger,
+    cardamomloom_core::Span,
     cardamomloom_platform::{registry, store::ObjectStore},
-    cardamomloom_protocol::passthrough::Registration,
+    cardamomloom_protocol::passthrough::{Registration, StoreEra},
     log::{info, warn},
     std::{net::Ipv4Addr, time::Duration},
-    tokio::sync::{mpsc, watch},
+    tokio::{
+        sync::{mpsc, watch},
+        time::timeout,
+    },
 };
 
 /// Backoff after the first failed call. It doubles with every failure up to [`MAX_BACKOFF`],
@@ -24,6 +29,17 @@
 /// balancer only checks that its own registration exists, and every call to the store has a cost.
 const NON_READER_AUDIT_INTERVALS: usize = 8;
 
+/// Mean time between two balancers that register again after a restore of the store.
+const RENEWAL_SPACING: Span = Span::from_millis(50);
+
+/// State of the process that its registration depends on.
+pub struct RegistrationInputs {
+    /// What the process reads from the store.
+    pub modes: watch::Receiver<ReadMode>,
+    /// Era of the store.
+    pub eras: watch::Receiver<Option<StoreEra>>,
+}
+
 /// Lists the registered balancers, retrying until a call succeeds, and sends them as an event.
 pub async fn list_balancers(store: ObjectStore, events: mpsc::Sender<Event>) -> Vec<Registration> {
     let mut backoff = MIN_BACKOFF;
@@ -53,32 +69,42 @@
 }
 
 /// Registers this balancer, and lists all registrations periodically: every [`AUDIT_INTERVAL`]
-/// while `modes` says that it reads the store, and less often otherwise. A missing registration of
-/// its own is written again.
+/// while it reads the store, and less often otherwise. A missing registration of its own is written
+/// again; after a restore of the store, which may have lost it, without a list.
 pub async fn maintain_registration(
     store: ObjectStore,
     own_address: Ipv4Addr,
-    modes: watch::Receiver<ReadMode>,
+    mut inputs: RegistrationInputs,
     events: mpsc::Sender<Event>,
 ) {
-    let mut backoff = MIN_BACKOFF;
     let mut registrations = list_balancers(store.clone(), events.clone()).await;
     loop {
+        let mut era = *inputs.eras.borrow_and_update();
         let is_registered = registrations
             .iter()
             .any(|entry| entry.address == own_address);
-        if !is_registered && let Err(error) = registry::register(&store, own_address).await {
-            warn!(
-                event = "registration_failed";
-                "cannot register this balancer, retrying: {error}"
-            );
-            tokio::time::sleep(backoff).await;
-            backoff = (backoff * 2).min(MAX_BACKOFF);
-            continue;
+        if !is_registered {
+            register(&store, own_address).await;
         }
         for _ in 0..NON_READER_AUDIT_INTERVALS {
-            tokio::time::sleep(AUDIT_INTERVAL).await;
-            if matches!(*modes.borrow(), ReadMode::Watch { .. }) {
+            while let Ok(Some(present_era)) =
+                timeout(AUDIT_INTERVAL, next_era(&mut inputs.eras)).await
+            {
+                if era
+                    .replace(present_era)
+                    .is_none_or(|era| era == present_era)
+                {
+                    continue;
+                }
+                info!(
+                    event = "registration_renewed", era:% = present_era;
+                    "store was restored: registering this balancer again"
+                );
+                let spread = Span(RENEWAL_SPACING.0 * registrations.len() as u64);
+                tokio::time::sleep(stagger(own_address, spread).to_duration()).await;
+                register(&store, own_address).await;
+            }
+            if matches!(*inputs.modes.borrow(), ReadMode::Watch { .. }) {
                 break;
             }
         }
@@ -86,6 +112,28 @@
     }
 }
 
+/// Waits until the era changes. Returns it if it is known.
+async fn next_era(eras: &mut watch::Receiver<Option<StoreEra>>) -> Option<StoreEra> {
+    match eras.changed().await {
+        Ok(()) => *eras.borrow_and_update(),
+        // The sender is dropped only when the process stops.
+        Err(_) => std::future::pending().await,
+    }
+}
+
+/// Registers this balancer, retrying until a call succeeds.
+async fn register(store: &ObjectStore, own_address: Ipv4Addr) {
+    let mut backoff = MIN_BACKOFF;
+    while let Err(error) = registry::register(store, own_address).await {
+        warn!(
+            event = "registration_failed";
+            "cannot register this balancer, retrying: {error}"
+        );
+        tokio::time::sleep(backoff).await;
+        backoff = (backoff * 2).min(MAX_BACKOFF);
+    }
+}
+
 /// Removes the registrations of balancers that no longer run.
 pub async fn remove_registrations(store: ObjectStore, registrations: Vec<Registration>) {
     for registration in registrations {
