Keep failure domains out of service while operators write again what a restore lost

What callers would see: new flows to a failure domain that operators have taken out, in the time between a restore of the store and the moment at which operators write the lost entry again.

Cause: an entry that is missing in the first answer after a restore was taken to be withdrawn, although the restore may have lost it. Class: a state that is read as complete while it is being restored.

Evidence: verify_that_a_domain_out_stays_out_while_operators_write_again_what_a_restore_lost placed a flow 1.9 s after the restore before this commit. A domain that is really back serves at most 2 s later.

--- a/crates/coordination/src/passthrough/agent/admission.rs
+++ b/crates/coordination/src/passthrough/agent/admission.rs
@@ -81,7 +81,7 @@
         host.state == HostReportState::Ready
             && !self.control.is_stopping()
             && !self.is_suspected(now)
-            && !self.catalogue.is_domain_out(&self.identity.domain)
+            && !self.catalogue.is_domain_out(now, &self.identity.domain)
             && self.flows.active() < max_connections as usize
     }
 
--- a/crates/coordination/src/passthrough/agent/control.rs
+++ b/crates/coordination/src/passthrough/agent/control.rs
@@ -212,8 +212,8 @@
     }
 
     /// Applies the status of the failure domains.
-    pub fn on_domain_status(&mut self, status: DomainStatus) {
-        self.catalogue.apply_domain_status(status);
+    pub fn on_domain_status(&mut self, now: Time, status: DomainStatus) {
+        self.catalogue.apply_domain_status(now, status);
     }
 
     /// Records that the store confirmed the catalogue and the status of the failure domains at
@@ -229,7 +229,7 @@
             self.on_catalogue(document);
         }
         if let Some(status) = snapshot.domain_status {
-            self.on_domain_status(status);
+            self.on_domain_status(now, status);
         }
         self.peers.add_all(now, snapshot.balancers);
     }
@@ -339,7 +339,7 @@
             self.control.newer_balancer = Some(heartbeat.balancer);
         }
         if let Some(status) = heartbeat.domain_status {
-            self.on_domain_status(status);
+            self.on_domain_status(now, status);
         }
         if !heartbeat.hosts.is_empty() {
             self.apply_host_list(now, heartbeat.hosts);
--- a/crates/coordination/src/passthrough/balancer/control.rs
+++ b/crates/coordination/src/passthrough/balancer/control.rs
@@ -132,7 +132,7 @@
     /// Applies the status of the failure domains. Returns the messages that announce it if the set
     /// of domains that are out of service changed.
     pub fn on_domain_status(&mut self, now: Time, status: DomainStatus) -> Vec<OutgoingMessage> {
-        if self.catalogue.apply_domain_status(status) {
+        if self.catalogue.apply_domain_status(now, status) {
             self.announce_change(now)
         } else {
             Vec::new()
@@ -275,9 +275,7 @@
         BalancerSummary {
             catalogue_version: self.catalogue.version(),
             domains_revision: domain_status.map_or(StoreRevision(0), |status| status.revision),
-            domains_out: domain_status
-                .map(|status| status.domains_out.iter().cloned().collect())
-                .unwrap_or_default(),
+            domains_out: self.catalogue.domains_out(now).cloned().collect(),
             is_confirmed,
             is_reader: self.is_reader(now),
             balancers: self.peers.live(now).collect(),
--- a/crates/coordination/src/passthrough/balancer/mod.rs
+++ b/crates/coordination/src/passthrough/balancer/mod.rs
@@ -227,7 +227,9 @@
     /// Returns whether a host accepts new flows and its failure domain is in service.
     fn is_usable(&self, now: Time, record: &HostRecord) -> bool {
         self.hosts.accepts_new(now, record)
-            && !self.catalogue.is_domain_out(&record.announcement.domain)
+            && !self
+                .catalogue
+                .is_domain_out(now, &record.announcement.domain)
     }
 
     /// Refuses a retransmitted SYN to an unknown address if the catalogue is recent. The first SYN
--- a/crates/coordination/src/passthrough/catalogue.rs
+++ b/crates/coordination/src/passthrough/catalogue.rs
@@ -9,11 +9,14 @@
     },
     log::info,
     std::{
-        collections::{HashMap, HashSet},
+        collections::{BTreeSet, HashMap, HashSet},
         net::SocketAddrV4,
     },
 };
 
+/// Time after a restore of the store in which operators write again what it has lost.
+const RESTORE_SETTLING: Span = Span::from_secs(2);
+
 /// Local replica of the catalogue and of the failure domains that are out of service.
 #[derive(Clone, Debug, Default)]
 pub struct CatalogueView {
@@ -24,12 +27,22 @@
     /// may still be open.
     retargeted: HashSet<SocketAddrV4>,
     domain_status: Option<DomainStatus>,
+    restored: Option<RestoredDomains>,
     /// Last status that was logged as outdated.
     outdated_status: Option<DomainStatus>,
     /// Latest time at which the store is known to have confirmed this replica.
     confirmed_at: Option<Time>,
 }
 
+/// Failure domains that were out of service before a restore of the store and that the store has not
+/// named since.
+#[derive(Clone, Debug)]
+struct RestoredDomains {
+    domains: BTreeSet<DomainName>,
+    /// Time until which they stay out of service.
+    out_until: Time,
+}
+
 /// Result of a route lookup for a new flow.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Lookup<'a> {
@@ -69,7 +82,7 @@
 
     /// Replaces the status of the failure domains if `status` is from a later position of the store.
     /// Logs and returns whether the set of domains that are out of service changed.
-    pub fn apply_domain_status(&mut self, status: DomainStatus) -> bool {
+    pub fn apply_domain_status(&mut self, now: Time, status: DomainStatus) -> bool {
         let current = self.domain_status.as_ref();
         if let Some(current) = current
             && status.position() <= current.position()
@@ -88,6 +101,7 @@
             return false;
         }
         let is_change = current.is_none_or(|current| current.domains_out != status.domains_out);
+        self.keep_domains_out(now, &status);
         if is_change {
             info!(event = "domains_out_changed", era = status.era.map(|era| era.0), revision:% = status.revision, domains:? = status.domains_out; "set of failure domains out of service changed");
         }
@@ -95,6 +109,42 @@
         is_change
     }
 
+    /// When `status` is the first one after a restore of the store, keeps the failure domains out of
+    /// service that are missing in it, because the restore may have lost their entries. A domain that
+    /// the store names again is no longer kept out.
+    fn keep_domains_out(&mut self, now: Time, status: &DomainStatus) {
+        let mut kept = self
+            .restored
+            .take()
+            .filter(|restored| now < restored.out_until);
+        let is_restore = self
+            .domain_status
+            .as_ref()
+            .is_some_and(|previous| previous.era.is_some() && previous.era < status.era);
+        if let Some(previous) = self.domain_status.as_ref().filter(|_| is_restore) {
+            let mut domains = previous.domains_out.clone();
+            domains.extend(kept.into_iter().flat_map(|restored| restored.domains));
+            kept = Some(RestoredDomains {
+                domains,
+                out_until: now + RESTORE_SETTLING,
+            });
+        }
+        if let Some(restored) = &mut kept {
+            restored
+                .domains
+                .retain(|domain| !status.domains_out.contains(domain));
+        }
+        self.restored = kept.filter(|restored| !restored.domains.is_empty());
+        if let Some(restored) = self.restored.as_ref().filter(|_| is_restore) {
+            info!(
+                event = "domains_kept_out", era = status.era.map(|era| era.0),
+                revision:% = status.revision, domains:? = restored.domains,
+                kept_for_ms = RESTORE_SETTLING.as_millis();
+                "failure domains stay out of service: a restore of the store may have lost their entries"
+            );
+        }
+    }
+
     /// Compares this replica with the heartbeat of a balancer. When both have the same catalogue,
     /// the confirmation that the balancer received from the store is valid here too. Returns
     /// whether the balancer has a newer catalogue.
@@ -149,10 +199,19 @@
 
     /// Returns whether a failure domain is out of service; false while the status is unknown.
     #[must_use]
-    pub fn is_domain_out(&self, domain: &DomainName) -> bool {
-        self.domain_status
-            .as_ref()
-            .is_some_and(|status| status.domains_out.contains(domain))
+    pub fn is_domain_out(&self, now: Time, domain: &DomainName) -> bool {
+        self.domains_out(now).any(|out| out == domain)
+    }
+
+    /// Returns the failure domains that are out of service.
+    pub fn domains_out(&self, now: Time) -> impl Iterator<Item = &DomainName> {
+        let named = self.domain_status.iter().map(|status| &status.domains_out);
+        let kept = self
+            .restored
+            .iter()
+            .filter(move |restored| now < restored.out_until)
+            .map(|restored| &restored.domains);
+        named.chain(kept).flatten()
     }
 
     /// Returns the catalogue entry of a service, which holds its limits.
--- a/crates/coordination/tests/passthrough_restored_store.rs
+++ b/crates/coordination/tests/passthrough_restored_store.rs
@@ -150,6 +150,36 @@
     assert!(!is_placed(&mut starting, now, 2));
 }
 
+/// Guards against new flows to a failure domain whose entry the restore has lost, in the time until
+/// operators write it again.
+#[test]
+fn verify_that_a_domain_out_stays_out_while_operators_write_again_what_a_restore_lost() {
+    let restored_at = Time::from_millis(10_000);
+    let mut balancer = balancer_with_host(restored_at);
+    balancer.on_domain_status(restored_at, status(Some(1), 35, &["domain-0"]));
+    balancer.on_domain_status(restored_at, status(Some(2), 9, &[]));
+    // Operators write lost entries again within 2 s; one that is still missing then is withdrawn.
+    let now = restored_at + Span::from_millis(1_900);
+    announce_host(&mut balancer, now);
+    assert!(!is_placed(&mut balancer, now, 1));
+    let now = restored_at + Span::from_millis(2_100);
+    assert!(is_placed(&mut balancer, now, 2));
+}
+
+/// Guards against a failure domain that stays out although operators have returned it to service
+/// after the restore.
+#[test]
+fn verify_that_a_domain_that_returns_after_a_restore_serves_at_once() {
+    let now = Time::from_millis(10_000);
+    let mut balancer = balancer_with_host(now);
+    balancer.on_domain_status(now, status(Some(1), 35, &["domain-0"]));
+    balancer.on_domain_status(now, status(Some(2), 9, &[]));
+    balancer.on_domain_status(now, status(Some(2), 10, &["domain-0"]));
+    assert!(!is_placed(&mut balancer, now, 1));
+    balancer.on_domain_status(now, status(Some(2), 11, &[]));
+    assert!(is_placed(&mut balancer, now, 2));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 512,
@@ -170,7 +200,7 @@
         for (era, revision) in &positions {
             now = now + Span::from_secs(60);
             let name = format!("domain-{}-{revision}", era.unwrap_or_default());
-            view.apply_domain_status(status(*era, *revision, &[&name]));
+            view.apply_domain_status(now, status(*era, *revision, &[&name]));
         }
         let (era, revision) = positions.iter().max().expect("not empty");
         let in_force = view.domain_status().expect("a status was applied");
--- a/crates/daemon/src/passthrough/agent.rs
+++ b/crates/daemon/src/passthrough/agent.rs
@@ -146,7 +146,7 @@
                 self.update_runtime(now);
             }
             Event::Catalogue(document) => self.agent.on_catalogue(document),
-            Event::DomainStatus(status) => self.agent.on_domain_status(status),
+            Event::DomainStatus(status) => self.agent.on_domain_status(now, status),
             Event::RegisteredBalancers(registrations) => {
                 let balancers = registrations.iter().map(|entry| entry.address);
                 self.agent.add_balancers(now, balancers);
--- a/crates/standins/src/passthrough/simulation/events.rs
+++ b/crates/standins/src/passthrough/simulation/events.rs
@@ -241,7 +241,9 @@
             }
             if access != StoreAccess::None && self.is_store_up {
                 process.core.on_catalogue(self.catalogue.clone());
-                process.core.on_domain_status(self.domain_status.clone());
+                process
+                    .core
+                    .on_domain_status(self.now, self.domain_status.clone());
                 process.core.on_store_confirmed(now);
             }
             snapshot_source = process.core.snapshot_source();
