Compare reported versions by era in the status command

What operators saw: after a restore of the store, cardamomloom status took the balancer that had not noticed it for the newest and reported all others as lagging.

Cause: the command compares versions as numbers; the store gives out lower ones after a restore.

Evidence: verify_status_compares_versions_of_two_eras showed 'domains has version 9, the store has 35' before this commit; it now shows that version 35 of era 1 lags behind 9 of era 2. Balancers report the era beside the version of the failure domains.

--- a/crates/cli/src/commands/status.rs
+++ b/crates/cli/src/commands/status.rs
@@ -4,7 +4,7 @@
     crate::{
         context::Context,
         output::{Output, format_cell, format_table},
-        processes::{self, ProcessAnswer},
+        processes::{self, ProcessAnswer, ReportedVersion},
     },
     cardamomloom_core::{Alert, ObjectVersion, error::Result},
     cardamomloom_protocol::object::{DOMAINS_PREFIX, SERVICES_PREFIX},
@@ -17,7 +17,7 @@
     answered: &'a ProcessAnswer,
     state: &'static str,
     /// Objects of which an older version is in force: key, version in force and expected version.
-    lags: Vec<(String, ObjectVersion, ObjectVersion)>,
+    lags: Vec<(String, ReportedVersion, ReportedVersion)>,
 }
 
 /// Compares the versions in force at every balancer with those of the store. With pass-through
@@ -41,10 +41,14 @@
         let alert = Alert::StoreUnavailable;
         degradations.insert(0, Degradation { alert, message });
     }
+    let expected_numbers: BTreeMap<&String, ObjectVersion> = expected
+        .iter()
+        .map(|(key, expected)| (key, expected.version))
+        .collect();
     Ok(Output {
         text: format_text(&balancers, expected, &degradations),
         json: json!({
-            "objects": expected,
+            "objects": expected_numbers,
             "balancers": balancers.iter().map(balancer_json).collect::<Vec<_>>(),
             "degraded": degradations.iter().map(Degradation::to_json).collect::<Vec<_>>(),
         }),
@@ -52,14 +56,14 @@
 }
 
 /// Returns the version of each service and failure domain in the store.
-async fn stored_versions(context: &Context) -> Result<BTreeMap<String, ObjectVersion>> {
+async fn stored_versions(context: &Context) -> Result<BTreeMap<String, ReportedVersion>> {
     let mut versions = BTreeMap::new();
     for prefix in [SERVICES_PREFIX, DOMAINS_PREFIX] {
         let list = context.store.list(prefix).await?;
         versions.extend(
             list.objects
                 .iter()
-                .map(|object| (object.key.to_string(), object.version)),
+                .map(|object| (object.key.to_string(), object.version.into())),
         );
     }
     Ok(versions)
@@ -70,7 +74,7 @@
 /// reads.
 fn newest_pass_through_versions(
     answers: &[ProcessAnswer],
-) -> Option<BTreeMap<String, ObjectVersion>> {
+) -> Option<BTreeMap<String, ReportedVersion>> {
     let statuses = answers
         .iter()
         .filter_map(|answered| answered.answer.as_ref().ok())
@@ -90,7 +94,7 @@
 /// than expected.
 fn compare_versions<'a>(
     answered: &'a ProcessAnswer,
-    expected: &BTreeMap<String, ObjectVersion>,
+    expected: &BTreeMap<String, ReportedVersion>,
 ) -> BalancerStatus<'a> {
     let Ok(status) = &answered.answer else {
         return BalancerStatus {
@@ -183,7 +187,12 @@
     let lags: Vec<Value> = balancer
         .lags
         .iter()
-        .map(|(key, in_force, expected)| json!({"key": key, "version": in_force, "stored": expected}))
+        .map(|(key, in_force, expected)| {
+            json!({
+                "key": key, "version": in_force.version, "stored": expected.version,
+                "era": in_force.era, "stored_era": expected.era,
+            })
+        })
         .collect();
     json!({
         "node": balancer.answered.name,
@@ -199,7 +208,7 @@
 /// force, and the alerts.
 fn format_text(
     balancers: &[BalancerStatus],
-    expected: &BTreeMap<String, ObjectVersion>,
+    expected: &BTreeMap<String, ReportedVersion>,
     degradations: &[Degradation],
 ) -> String {
     let rows: Vec<Vec<String>> = balancers
--- a/crates/cli/src/processes/mod.rs
+++ b/crates/cli/src/processes/mod.rs
@@ -10,6 +10,7 @@
     serde_json::Value,
     std::{
         collections::{BTreeMap, BTreeSet},
+        fmt,
         net::SocketAddr,
         time::Duration,
     },
@@ -106,13 +107,41 @@
     }
 }
 
+/// Version of an object that a process or the store reports. A version of a later era is later,
+/// whatever its number, because a restore of the store gives out numbers again.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ReportedVersion {
+    /// Era of the store; 0 for objects without one.
+    pub era: u64,
+    /// Version within the era.
+    pub version: ObjectVersion,
+}
+
+impl From<ObjectVersion> for ReportedVersion {
+    fn from(version: ObjectVersion) -> Self {
+        Self { era: 0, version }
+    }
+}
+
+impl fmt::Display for ReportedVersion {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.version)?;
+        if self.era > 0 {
+            write!(f, " of era {}", self.era)?;
+        }
+        Ok(())
+    }
+}
+
 /// Returns the version in force of each object, by key, from the status of a process.
-pub fn versions_in_force(status: &Value) -> BTreeMap<String, ObjectVersion> {
+pub fn versions_in_force(status: &Value) -> BTreeMap<String, ReportedVersion> {
     let objects = status["objects"].as_array().into_iter().flatten();
     objects
         .filter_map(|object| {
             let key = object["key"].as_str()?.to_owned();
-            Some((key, ObjectVersion(object["version"].as_u64()?)))
+            let version = ObjectVersion(object["version"].as_u64()?);
+            let era = object["era"].as_u64().unwrap_or_default();
+            Some((key, ReportedVersion { era, version }))
         })
         .collect()
 }
@@ -127,7 +156,7 @@
     let lag_reason = |answered: &ProcessAnswer| match &answered.answer {
         Err(error) => Some(format!("{} ({})", answered.name, error.message)),
         Ok(status) => match versions_in_force(status).get(key) {
-            Some(version) if *version >= target_version => None,
+            Some(version) if *version >= target_version.into() => None,
             Some(version) => Some(format!("{} (has version {version})", answered.name)),
             None => Some(format!("{} (has no version)", answered.name)),
         },
--- a/crates/cli/tests/command/views.rs
+++ b/crates/cli/tests/command/views.rs
@@ -87,6 +87,34 @@
     Ok(())
 }
 
+/// Guards against a status that takes a balancer for the newest one because it has not noticed that
+/// the store was restored, after which versions are lower.
+#[test]
+fn verify_status_compares_versions_of_two_eras() -> Result<()> {
+    let environment = TestEnvironment::start()?;
+    let status = |era: u64, version: u64| {
+        json!({
+            "role": "balancer", "delivery": "pass_through", "stopping": false,
+            "standing": "serving", "domains_out": [], "hosts": [],
+            "objects": [{"key": "domains", "era": era, "version": version}],
+        })
+    };
+    let nodes = [Arc::new(Endpoint::default()), Arc::new(Endpoint::default())];
+    nodes[0].set_status(status(1, 35));
+    nodes[1].set_status(status(2, 9));
+    let addresses: Vec<String> = nodes
+        .iter()
+        .map(|node| Ok(environment.serve(node.clone())?.to_string()))
+        .collect::<Result<_>>()?;
+    let shown = environment.expect(0, &["--nodes", &addresses.join(","), "status"])?;
+    assert!(
+        shown.contains("lags: domains has version 35 of era 1, the store has 9 of era 2"),
+        "{shown}"
+    );
+    assert!(!shown.contains("has version 9"), "{shown}");
+    Ok(())
+}
+
 /// Guards against a status that does not name the balancers that lag and what is degraded.
 #[test]
 fn verify_status_names_lag_and_degradation() -> Result<()> {
--- a/crates/coordination/src/passthrough/balancer/control.rs
+++ b/crates/coordination/src/passthrough/balancer/control.rs
@@ -12,7 +12,7 @@
     cardamomloom_protocol::passthrough::{
         AgentHeartbeat, Announcement, BalancerHeartbeat, CatalogueDocument, CatalogueVersion,
         DomainStatus, HostAdvertisement, HostListDigest, PeerMessage, Registration, Snapshot,
-        StoreEra, StoreRevision,
+        StoreEra, StorePosition,
     },
     log::info,
     std::net::Ipv4Addr,
@@ -38,8 +38,9 @@
 pub struct BalancerSummary {
     /// Version of the catalogue in force, or zero when there is none.
     pub catalogue_version: CatalogueVersion,
-    /// Revision at which the status of the failure domains was read, or zero when it is unknown.
-    pub domains_revision: StoreRevision,
+    /// Position of the store at which the status of the failure domains was read, or zero when it is
+    /// unknown.
+    pub domains_position: StorePosition,
     /// Failure domains that are out of service.
     pub domains_out: Vec<DomainName>,
     /// Whether the store, or a balancer that reads it, confirmed the catalogue within
@@ -274,7 +275,9 @@
             .is_some_and(|ago| ago <= self.options.max_catalogue_age);
         BalancerSummary {
             catalogue_version: self.catalogue.version(),
-            domains_revision: domain_status.map_or(StoreRevision(0), |status| status.revision),
+            domains_position: domain_status
+                .map(DomainStatus::position)
+                .unwrap_or_default(),
             domains_out: self.catalogue.domains_out(now).cloned().collect(),
             is_confirmed,
             is_reader: self.is_reader(now),
--- a/crates/daemon/src/passthrough/balancer.rs
+++ b/crates/daemon/src/passthrough/balancer.rs
@@ -318,7 +318,11 @@
             "confirmed_ago_ms": self.confirmed_ago_ms(now),
             "objects": [
                 {"key": "catalogue", "version": summary.catalogue_version.0},
-                {"key": "domains", "version": summary.domains_revision.0},
+                {
+                    "key": "domains",
+                    "era": summary.domains_position.era.map(|era| era.0),
+                    "version": summary.domains_position.revision.0,
+                },
             ],
             "domains_out": summary.domains_out,
             "balancers": summary.balancers,
