Log catalogues that are ignored as older

Cause: after a restore the store may hold an older catalogue than the one in force, until operators write theirs again. The process keeps the newer one, and the logs did not show it.

Change: catalogue_outdated with both versions. No decision changes.

--- a/crates/coordination/src/passthrough/catalogue.rs
+++ b/crates/coordination/src/passthrough/catalogue.rs
@@ -59,6 +59,13 @@
     /// replaced.
     pub fn apply_document(&mut self, document: CatalogueDocument) -> bool {
         if self.document.is_some() && document.version <= self.version() {
+            if document.version < self.version() {
+                info!(
+                    event = "catalogue_outdated", version:% = document.version,
+                    current_version:% = self.version();
+                    "older catalogue ignored"
+                );
+            }
             return false;
         }
         for route in &document.routes {
