--- a/crates/coordination/src/passthrough/catalogue.rs
+++ b/crates/coordination/src/passthrough/catalogue.rs
@@ -62,7 +62,7 @@
             if document.version < self.version() {
                 info!(
                     event = "catalogue_outdated", version:% = document.version,
-                    current_version:% = self.version();
+                    present_version:% = self.version();
                     "older catalogue ignored"
                 );
             }
@@ -100,7 +100,7 @@
                 info!(
                     event = "domain_status_outdated", era = status.era.map(|era| era.0),
                     revision:% = status.revision, domains:? = status.domains_out,
-                    current_era = current.era.map(|era| era.0), current_revision:% = current.revision;
+                    present_era = current.era.map(|era| era.0), present_revision:% = current.revision;
                     "outdated status of the failure domains ignored"
                 );
                 self.outdated_status = Some(status);
