Read the era of the store before the list of registrations

Not seen; found when reading the change.

Cause: the era was read after the list, so that a restore between the two counted as known, and the registration that it lost was written again only by the next audit.

--- a/crates/daemon/src/passthrough/registry.rs
+++ b/crates/daemon/src/passthrough/registry.rs
@@ -77,9 +77,10 @@
     mut inputs: RegistrationInputs,
     events: mpsc::Sender<Event>,
 ) {
-    let mut registrations = list_balancers(store.clone(), events.clone()).await;
     loop {
+        // Read before the list, so that a restore after the list is noticed.
         let mut era = *inputs.eras.borrow_and_update();
+        let registrations = list_balancers(store.clone(), events.clone()).await;
         let is_registered = registrations
             .iter()
             .any(|entry| entry.address == own_address);
@@ -87,17 +88,15 @@
             register(&store, own_address).await;
         }
         for _ in 0..NON_READER_AUDIT_INTERVALS {
-            while let Ok(Some(present_era)) =
-                timeout(AUDIT_INTERVAL, next_era(&mut inputs.eras)).await
-            {
-                if era
-                    .replace(present_era)
-                    .is_none_or(|era| era == present_era)
-                {
+            while let Ok(present_era) = timeout(AUDIT_INTERVAL, next_era(&mut inputs.eras)).await {
+                // An era that was unknown before does not show a restore.
+                let is_restore = era.is_some() && present_era != era;
+                era = present_era;
+                if !is_restore {
                     continue;
                 }
                 info!(
-                    event = "registration_renewed", era:% = present_era;
+                    event = "registration_renewed", era = present_era.map(|era| era.0);
                     "store was restored: registering this balancer again"
                 );
                 let spread = Span(RENEWAL_SPACING.0 * registrations.len() as u64);
@@ -108,11 +107,10 @@
                 break;
             }
         }
-        registrations = list_balancers(store.clone(), events.clone()).await;
     }
 }
 
-/// Waits until the era changes. Returns it if it is known.
+/// Waits until the era changes, and returns it if it is known.
 async fn next_era(eras: &mut watch::Receiver<Option<StoreEra>>) -> Option<StoreEra> {
     match eras.changed().await {
         Ok(()) => *eras.borrow_and_update(),
