--- a/review/harness/cases.rs
+++ b/review/harness/cases.rs
@@ -195,9 +195,10 @@
         record.say(&format!("PUT {path} {body}: {status}"));
     }
     let refused_before = host.refused.load(std::sync::atomic::Ordering::SeqCst);
-    let mut broken = Vec::new();
+    let (mut broken, mut answered) = (Vec::new(), 0);
     for mut flow in flows {
         let outcome = flow.request("POST", "/second", s(2));
+        answered += usize::from(matches!(outcome, Outcome::Answered(_)));
         let is_open = site.hosts.iter().any(|host| {
             let seen = host.seen.lock().expect("no panics");
             seen.open.get(&flow.client) == Some(&true) && !seen.resets.contains(&flow.client)
@@ -208,6 +209,7 @@
     }
     thread::sleep(s(8));
     let refused = host.refused.load(std::sync::atomic::Ordering::SeqCst) - refused_before;
+    record.say(&format!("answered: {answered} of 12"));
     record.say(&format!("heartbeats of the host refused since: {refused}"));
     site.record_logs(&["flow_reset", "host_state", "report_outdated"]);
     Ok(flow_verdict(&broken))
