--- a/review/harness/cases.rs
+++ b/review/harness/cases.rs
@@ -10,6 +10,7 @@
 use std::{
     io::{Error, Result},
     path::Path,
+    sync::atomic::Ordering,
     thread,
     time::{Duration, Instant},
 };
@@ -36,6 +37,7 @@
         "foreign-heartbeat" => foreign_heartbeat(root, has_trouble, record),
         "weights" => weights(root, has_trouble, record),
         "large-config" => large_config(root, has_trouble, record),
+        "stalled-collector" => stalled_collector(root, has_trouble, record),
         "stale-seeds" => stale_seeds(root, has_trouble, record),
         _ => Err(Error::other("no such case")),
     }
@@ -53,6 +55,7 @@
         seeds: None,
         replica_lag: Duration::ZERO,
         link: None,
+        has_collector: false,
         are_hosts_first: true,
         config: config(&layout, 7, &[(0, "safe", vec![(0, 1)])], 15_000),
     };
@@ -106,6 +109,7 @@
         seeds: None,
         replica_lag: Duration::ZERO,
         link: None,
+        has_collector: false,
         are_hosts_first: false,
         config: config(&layout, 7, &routes, 15_000),
     };
@@ -166,6 +170,7 @@
         seeds: None,
         replica_lag: Duration::ZERO,
         link: None,
+        has_collector: false,
         are_hosts_first: true,
         config: config(&layout, 7, &[(0, "unsafe", vec![(0, 1)])], 15_000),
     };
@@ -194,7 +199,7 @@
         let status = http::call(host.plan.control_plane, "PUT", path, &body);
         record.say(&format!("PUT {path} {body}: {status}"));
     }
-    let refused_before = host.refused.load(std::sync::atomic::Ordering::SeqCst);
+    let refused_before = host.refused.load(Ordering::SeqCst);
     let (mut broken, mut answered) = (Vec::new(), 0);
     for mut flow in flows {
         let outcome = flow.request("POST", "/second", s(2));
@@ -208,7 +213,7 @@
         }
     }
     thread::sleep(s(8));
-    let refused = host.refused.load(std::sync::atomic::Ordering::SeqCst) - refused_before;
+    let refused = host.refused.load(Ordering::SeqCst) - refused_before;
     record.say(&format!("answered: {answered} of 12"));
     record.say(&format!("heartbeats of the host refused since: {refused}"));
     site.record_logs(&["flow_reset", "host_state", "report_outdated"]);
@@ -231,6 +236,7 @@
         seeds: None,
         replica_lag: Duration::ZERO,
         link: None,
+        has_collector: false,
         are_hosts_first: true,
         config: config(&layout, 7, &routes([90, 10]), 15_000),
     };
@@ -317,6 +323,7 @@
         seeds: None,
         replica_lag: Duration::ZERO,
         link: Some(LINK),
+        has_collector: false,
         are_hosts_first: true,
         config: config(&layout, 7, &routes, 15_000),
     };
@@ -371,6 +378,67 @@
     })
 }
 
+/// The collector of the logs of one agent does not read for a while, and the zone is evacuated.
+fn stalled_collector(root: &Path, has_trouble: bool, record: &Record) -> Result<Verdict> {
+    const EVACUATE: Duration = s(5);
+    let layout = Layout::choose()?;
+    let route = layout.route(0);
+    let plan = Plan {
+        balancers: 2,
+        hosts: vec![2],
+        seeds: None,
+        replica_lag: Duration::ZERO,
+        link: None,
+        has_collector: true,
+        are_hosts_first: true,
+        config: config(&layout, 7, &[(0, "safe", vec![(0, 1)])], 15_000),
+    };
+    let site = Site::start(root, layout, plan, record)?;
+    site.wait_until_served(route)?;
+    thread::sleep(s(5));
+    let traffic = Traffic::start(&site.clients, route, ms(3));
+    let (agent, host) = (&site.agents[0], &site.hosts[0]);
+    let stalled = agent.is_collector_stalled.clone();
+    let stalled = stalled.ok_or_else(|| Error::other("no collector"))?;
+    if has_trouble {
+        stalled.store(true, Ordering::SeqCst);
+        record.say("the collector of the logs of one agent reads no more");
+    }
+    let readiness = layout.readiness(*host.plan.app.ip());
+    let end = Instant::now() + s(50);
+    while Instant::now() < end && has_trouble {
+        if http::call(readiness, "GET", "/cardamomloom/readyz", "") != 200 {
+            record.say("the agent does not answer the readiness probe");
+            break;
+        }
+        thread::sleep(ms(200));
+    }
+    site.store.put("evacuations", &host.plan.zone, "{}");
+    let evacuated = Instant::now();
+    record.say(&format!("evacuations/{} is acknowledged", host.plan.zone));
+    thread::sleep(EVACUATE + s(2));
+    stalled.store(false, Ordering::SeqCst);
+    record.say("the collector reads again");
+    thread::sleep(s(4));
+    traffic.stop();
+    let seen = host.seen.lock().expect("no panics");
+    let count = |from: Duration, to: Duration| -> usize {
+        let span = evacuated + from..evacuated + to;
+        let openings = seen.openings.values();
+        openings.filter(|arrival| span.contains(arrival)).count()
+    };
+    let (early, late) = (count(Duration::ZERO, EVACUATE), count(EVACUATE, s(60)));
+    record.say(&format!(
+        "new flows at {} after the acknowledgement: {early} within evacuate_ms, {late} later",
+        host.plan.id
+    ));
+    Ok(if late > 0 {
+        Verdict::Broken(format!("EVAC: {late} flows"))
+    } else {
+        Verdict::Held
+    })
+}
+
 /// The system starts with seeds at which nobody answers.
 fn stale_seeds(root: &Path, has_trouble: bool, record: &Record) -> Result<Verdict> {
     let layout = Layout::choose()?;
@@ -384,6 +452,7 @@
         seeds: has_trouble.then_some(stale),
         replica_lag: Duration::ZERO,
         link: None,
+        has_collector: false,
         are_hosts_first: true,
         config: config(&layout, 7, &[(0, "safe", vec![(0, 1)])], 15_000),
     };
--- a/review/harness/fleet.rs
+++ b/review/harness/fleet.rs
@@ -3,12 +3,16 @@
 use crate::{client::Routers, host::HostPlan, record::Record};
 use std::{
     fs::{self, File},
-    io::{Error, Result},
+    io::{Error, Read, Result, Write},
     net::{Ipv4Addr, SocketAddrV4, UdpSocket},
     os::unix::process::CommandExt,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
     time::Duration,
 };
 
@@ -105,6 +109,8 @@
     settings: PathBuf,
     log: PathBuf,
     child: Option<Child>,
+    /// Set while the collector of the process's logs does not read them.
+    pub is_collector_stalled: Option<Arc<AtomicBool>>,
 }
 
 impl Drop for Node {
@@ -124,8 +130,11 @@
             .env("PATH", std::env::var("PATH").unwrap_or_default())
             .env("CARDAMOMLOOM_SETTINGS", &self.settings)
             .stdin(Stdio::null())
-            .stderr(log.try_clone()?)
-            .stdout(log);
+            .stderr(log.try_clone()?);
+        match &self.is_collector_stalled {
+            Some(_) => command.stdout(Stdio::piped()),
+            None => command.stdout(log.try_clone()?),
+        };
         // SAFETY: the closure only calls `prctl`, which is safe between fork and exec.
         unsafe {
             command.pre_exec(|| {
@@ -133,7 +142,12 @@
                 Ok(())
             });
         }
-        let child = command.spawn()?;
+        let mut child = command.spawn()?;
+        if let (Some(is_stalled), Some(mut output)) =
+            (self.is_collector_stalled.clone(), child.stdout.take())
+        {
+            thread::spawn(move || collect(&mut output, log, &is_stalled));
+        }
         record.line(&format!("{} starts, process {}", self.name, child.id()));
         self.child = Some(child);
         Ok(())
@@ -189,6 +203,23 @@
     }
 }
 
+/// Copies the output of a process to its log, but for the time in which the collector is stalled.
+fn collect(output: &mut impl Read, mut log: File, is_stalled: &AtomicBool) {
+    let mut buffer = [0; 4_096];
+    loop {
+        while is_stalled.load(Ordering::SeqCst) {
+            thread::sleep(Duration::from_millis(5));
+        }
+        match output.read(&mut buffer) {
+            Ok(length) if length > 0 => {
+                // A log that cannot be written is only missing in the record.
+                let _ = log.write_all(&buffer[..length]);
+            }
+            _ => return,
+        }
+    }
+}
+
 /// Settings and processes of a case.
 pub struct Fleet {
     pub layout: Layout,
@@ -285,6 +316,7 @@
             log: self.directory.join(format!("{name}.log")),
             settings,
             child: None,
+            is_collector_stalled: None,
         })
     }
 
--- a/review/harness/host.rs
+++ b/review/harness/host.rs
@@ -47,6 +47,8 @@
 pub struct Seen {
     /// Packets of each client end, with the time of each.
     pub packets: HashMap<SocketAddrV4, Vec<Instant>>,
+    /// Arrival of the first SYN of each client end.
+    pub openings: HashMap<SocketAddrV4, Instant>,
     /// Client ends whose flow is open here.
     pub open: HashMap<SocketAddrV4, bool>,
     /// Requests that ran, by the client end and the first line.
@@ -197,6 +199,9 @@
         let client = packet.src;
         let mut seen = self.seen.lock().expect("no panics");
         seen.packets.entry(client).or_default().push(now);
+        if packet.has(SYN) {
+            seen.openings.entry(client).or_insert(now);
+        }
         drop(seen);
         let key = (packet.src, packet.dst);
         if packet.has(SYN) {
--- a/review/harness/site.rs
+++ b/review/harness/site.rs
@@ -37,6 +37,8 @@
     pub link: Option<usize>,
     /// Whether the hosts start before the processes beside them; both orders are allowed.
     pub are_hosts_first: bool,
+    /// Whether a collector reads the logs of the processes from pipes.
+    pub has_collector: bool,
     /// First configuration.
     pub config: String,
 }
@@ -93,6 +95,7 @@
             thread::sleep(START_SPREAD);
         }
         for node in balancers.iter_mut().chain(&mut agents) {
+            node.is_collector_stalled = plan.has_collector.then(Arc::default);
             node.start(record)?;
         }
         if !plan.are_hosts_first {
