Forward packets of open flows to the service that owns them, not to the present targets of their route

Cause: the balancer looked up the service of every packet, not only of a SYN, in the present catalogue, and tagged it with that service. A cached owner was then refused by its own agent (other_service), and without a cached owner only the agents of the newly chosen service were searched. A route that names another service, or gives a target the weight 0, had the same effect. An agent with a new catalogue also dropped the retransmitted SYN of a flow that its host had accepted already.

Change: the catalogue decides about SYNs only. A cached placement keeps the service of its host. A packet without a cached owner is copied to one agent of each service that may own the flow: all present targets, former targets for as long as a flow lasts, and services whose agents announce that their hosts hold flows to an address which is routed elsewhere (also those that an earlier process of a restarted agent announced). Copied packets are marked; agents do not reset flows on their account, and owners answer them. The log has owner_unknown and rerouted_addresses, the metric cardamomloom_copied_packets_total counts copied packets.

--- a/crates/coordination/src/passthrough/agent/control.rs
+++ b/crates/coordination/src/passthrough/agent/control.rs
@@ -11,11 +11,12 @@
         control::HostState,
         passthrough::{
             AgentDeparture, AgentHeartbeat, Announcement, BalancerHeartbeat, CatalogueDocument,
-            DomainStatus, HostListDigest, HostReport, PeerMessage, Snapshot,
+            DomainStatus, HostListDigest, HostReport, MAX_REROUTED_ADDRESSES, PeerMessage,
+            Snapshot,
         },
     },
     log::{info, warn},
-    std::net::Ipv4Addr,
+    std::net::{Ipv4Addr, SocketAddrV4},
 };
 
 /// Time after a change of the state in which the full announcement is repeated, so that a lost
@@ -39,6 +40,8 @@
     pub partial_list: PartialHostList,
     /// Digest of the hosts of the service that the agent knows.
     pub hosts_digest: HostListDigest,
+    /// Addresses that the host holds flows to and that the catalogue routes to other services.
+    rerouted_addresses: Vec<SocketAddrV4>,
     stopping_since: Option<Time>,
     /// A balancer that has a newer catalogue.
     newer_balancer: Option<Ipv4Addr>,
@@ -169,6 +172,7 @@
                 _ => idle > options.closed_flow_retention,
             }
         });
+        self.update_rerouted_addresses();
         self.announcements(now)
     }
 
@@ -205,12 +209,35 @@
     }
 
     /// Applies a catalogue from the store or a balancer.
-    pub fn on_catalogue(&mut self, document: CatalogueDocument) {
-        if self.catalogue.apply_document(document) {
+    pub fn on_catalogue(&mut self, now: Time, document: CatalogueDocument) {
+        if self.catalogue.apply_document(now, document) {
             self.control.next_announcement = Time::ZERO;
+            self.update_rerouted_addresses();
         }
     }
 
+    /// Determines the addresses that the host holds flows to although the catalogue routes them to
+    /// other services. Balancers learn them by the next announcement.
+    fn update_rerouted_addresses(&mut self) {
+        let mut addresses: Vec<SocketAddrV4> = self.flows.held_addresses().into_iter().collect();
+        addresses.retain(|address| {
+            self.catalogue.has_route(*address)
+                && !self.catalogue.has_target(*address, &self.identity.service)
+        });
+        let held = addresses.len();
+        addresses.truncate(MAX_REROUTED_ADDRESSES);
+        if addresses == self.control.rerouted_addresses {
+            return;
+        }
+        info!(
+            event = "rerouted_addresses", held, announced = addresses.len(),
+            catalogue:% = self.catalogue.version();
+            "set of addresses changed that the host holds flows to and that are routed to other services"
+        );
+        self.control.rerouted_addresses = addresses;
+        self.control.next_announcement = Time::ZERO;
+    }
+
     /// Applies the status of the failure domains.
     pub fn on_domain_status(&mut self, now: Time, status: DomainStatus) {
         self.catalogue.apply_domain_status(now, status);
@@ -226,7 +253,7 @@
     pub fn on_snapshot(&mut self, now: Time, snapshot: Snapshot) {
         self.control.newer_balancer = None;
         if let Some(document) = snapshot.catalogue {
-            self.on_catalogue(document);
+            self.on_catalogue(now, document);
         }
         if let Some(status) = snapshot.domain_status {
             self.on_domain_status(now, status);
@@ -436,6 +463,7 @@
             state: self.host_state(now),
             catalogue: self.catalogue.version(),
             interval_ms: as_millis_u16(self.announcement_interval()),
+            rerouted_addresses: self.control.rerouted_addresses.clone(),
             asks_hosts: None,
         };
         let is_unchanged = last.is_some_and(|last| {
--- a/crates/coordination/src/passthrough/agent/flows.rs
+++ b/crates/coordination/src/passthrough/agent/flows.rs
@@ -3,7 +3,10 @@
 use {
     cardamomloom_core::Time,
     cardamomloom_protocol::passthrough::{FlowId, RelayHeader},
-    std::{collections::HashMap, net::Ipv4Addr},
+    std::{
+        collections::{BTreeSet, HashMap},
+        net::{Ipv4Addr, SocketAddrV4},
+    },
 };
 
 /// Maximum distance between an acknowledgment of a caller and the latest sequence number of its
@@ -93,6 +96,11 @@
         matches!(self.phase, Phase::SynDelivered { .. } | Phase::Open)
     }
 
+    /// Returns whether the host has accepted the flow and the caller has not acknowledged it.
+    pub const fn is_opening(&self) -> bool {
+        self.is_active() && self.caller_acknowledgment.is_none()
+    }
+
     const fn counts(&self) -> Counts {
         let is_active = self.is_active();
         Counts {
@@ -130,6 +138,12 @@
         self.flows.get(flow)
     }
 
+    /// Returns the service addresses of the active flows.
+    pub fn held_addresses(&self) -> BTreeSet<SocketAddrV4> {
+        let active = self.flows.iter().filter(|(_, entry)| entry.is_active());
+        active.map(|(flow, _)| flow.service).collect()
+    }
+
     /// Changes a flow and updates the counts. Returns the result of `change`, or `None` when the
     /// flow is not in the table.
     pub fn update<T>(
--- a/crates/coordination/src/passthrough/agent/mod.rs
+++ b/crates/coordination/src/passthrough/agent/mod.rs
@@ -20,7 +20,7 @@
 };
 
 use {
-    super::{CatalogueView, FlowCache, PeerDirectory},
+    super::{CatalogueOptions, CatalogueView, FlowCache, PeerDirectory},
     cardamomloom_core::{DomainName, ServiceName, Span, Time},
     cardamomloom_protocol::passthrough::{
         FlowAbsence, FlowId, HostAdvertisement, HostReportState, RelayHeader, RelayKind, RunId,
@@ -191,7 +191,9 @@
         Self {
             tag: ServiceTag::from(&identity.service),
             started: now,
-            catalogue: CatalogueView::default(),
+            catalogue: CatalogueView::new(CatalogueOptions {
+                max_flow_duration: options.max_flow_duration,
+            }),
             peers,
             host: None,
             observed_server_start: false,
@@ -365,7 +367,10 @@
         // A balancer with a newer catalogue than this agent is trusted about routes.
         let knows_routes =
             self.catalogue.document().is_some() && self.catalogue.version() >= header.catalogue;
+        // The caller retransmits the SYN of a flow that the host has accepted.
+        let is_opening = self.flows.get(&flow).is_some_and(LocalFlow::is_opening);
         if knows_routes
+            && !is_opening
             && !self
                 .catalogue
                 .is_routed_to(flow.service, &self.identity.service)
--- a/crates/coordination/src/passthrough/agent/segments.rs
+++ b/crates/coordination/src/passthrough/agent/segments.rs
@@ -46,10 +46,8 @@
                 close_if_finished(entry, segment);
             });
             actions.push(Action::Deliver);
-            if header.kind != RelayKind::Forward {
-                let receivers = previous_hops(header).into_iter();
-                actions.extend(receivers.map(|to| Action::AnnounceOwner { to, flow }));
-            }
+            let receivers = previous_hops(header).into_iter();
+            actions.extend(receivers.map(|to| Action::AnnounceOwner { to, flow }));
             return;
         }
         self.look_up_owner(now, header, segment, actions);
@@ -93,6 +91,7 @@
             let cached_owner = self.owner_cache.touch(now, flow).copied();
             if cached_owner.is_none()
                 && segment.payload_bytes > 0
+                && !header.has_copies
                 && self.may_reset_unknown(now, flow)
             {
                 let query = LookupQuery {
@@ -198,7 +197,7 @@
             && !self.service_hosts.is_empty()
             && self
                 .catalogue
-                .is_only_target(flow.service, &self.identity.service)
+                .is_only_owner(now, flow.service, &self.identity.service)
     }
 
     /// Returns whether the backend server may hold flows that this process does not know, because
@@ -210,9 +209,9 @@
 
 /// Returns the processes that relayed a packet to this one: the visited agents and the balancer.
 /// The list is empty when the packet came straight from the balancer, which is then right about the
-/// owner.
+/// owner, unless it sent copies to other services.
 pub(super) fn previous_hops(header: &RelayHeader) -> Vec<Ipv4Addr> {
-    if header.kind == RelayKind::Forward {
+    if header.kind == RelayKind::Forward && !header.has_copies {
         return Vec::new();
     }
     let visited = header.visited().iter();
--- a/crates/coordination/src/passthrough/balancer/control.rs
+++ b/crates/coordination/src/passthrough/balancer/control.rs
@@ -123,7 +123,7 @@
     /// Applies a catalogue from the store or a peer. Returns the messages that announce it if it is
     /// newer.
     pub fn on_catalogue(&mut self, now: Time, document: CatalogueDocument) -> Vec<OutgoingMessage> {
-        if self.catalogue.apply_document(document) {
+        if self.catalogue.apply_document(now, document) {
             self.announce_change(now)
         } else {
             Vec::new()
--- a/crates/coordination/src/passthrough/balancer/mod.rs
+++ b/crates/coordination/src/passthrough/balancer/mod.rs
@@ -14,21 +14,23 @@
 
 use {
     super::{
-        CatalogueView, FlowCache, HostDirectory, HostDirectoryOptions, HostRecord, Lookup,
-        PeerDirectory, PeerDirectoryOptions, ReaderElection, StoreAccessOptions, flow_hash,
-        rendezvous_score,
+        CatalogueOptions, CatalogueView, FlowCache, HostDirectory, HostDirectoryOptions,
+        HostRecord, Lookup, PeerDirectory, PeerDirectoryOptions, ReaderElection,
+        StoreAccessOptions, flow_hash, rendezvous_score,
     },
     cardamomloom_core::{ServiceName, Span, Time},
     cardamomloom_protocol::{
         control::HostState,
         passthrough::{FlowId, RelayHeader, RunId, Segment, ServiceTag},
     },
-    std::net::Ipv4Addr,
+    std::{collections::BTreeSet, net::Ipv4Addr},
 };
 
 /// Limits, intervals and timeouts of a balancer.
 #[derive(Clone, Copy, Debug)]
 pub struct BalancerOptions {
+    /// Limits of the catalogue.
+    pub catalogue: CatalogueOptions,
     /// Timeouts of the host directory.
     pub hosts: HostDirectoryOptions,
     /// Timeouts of the balancer directory.
@@ -67,6 +69,7 @@
 impl Default for BalancerOptions {
     fn default() -> Self {
         Self {
+            catalogue: CatalogueOptions::default(),
             hosts: HostDirectoryOptions::default(),
             peers: PeerDirectoryOptions::default(),
             placement_cache_capacity: 65_536,
@@ -108,7 +111,7 @@
 }
 
 /// What the balancer does with a packet of a caller.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ForwardingDecision {
     /// Forwards the packet to an agent.
     Forward {
@@ -117,6 +120,8 @@
         /// Header in front of the packet.
         header: RelayHeader,
     },
+    /// Forwards a copy of the packet to an agent of each service that may own the flow.
+    ForwardCopies(Vec<(Ipv4Addr, RelayHeader)>),
     /// Drops the packet and answers the caller with a reset, so that the caller knows that its flow
     /// was not opened.
     Refuse(DropReason),
@@ -128,6 +133,8 @@
 struct Placement {
     agent: Ipv4Addr,
     run: RunId,
+    /// Service of the agent's host, which stays the owner of the flow when the route changes.
+    service: ServiceTag,
 }
 
 /// State of a balancer.
@@ -160,7 +167,7 @@
         Self {
             own_address,
             started: now,
-            catalogue: CatalogueView::default(),
+            catalogue: CatalogueView::new(options.catalogue),
             hosts: HostDirectory::new(options.hosts),
             peers,
             placements: FlowCache::new(
@@ -176,31 +183,84 @@
 
     /// Decides what to do with a packet of a caller.
     pub fn on_packet(&mut self, now: Time, segment: &Segment) -> ForwardingDecision {
+        if !segment.is_syn_without_ack() {
+            return self.on_open_flow(now, &segment.flow_from_caller());
+        }
         let flow = segment.flow_from_caller();
-        let (service, tag) = match self.catalogue.lookup(&flow) {
+        let service = match self.catalogue.lookup(&flow) {
             Lookup::NoCatalogue => return ForwardingDecision::Drop(DropReason::NoCatalogue),
             Lookup::NoRoute => return self.on_unknown_address(now, segment),
-            Lookup::Service(service) => (service.clone(), ServiceTag::from(service)),
-        };
-        let chosen = if segment.is_syn_without_ack() {
-            self.place(now, &flow, segment.acknowledgment, &service)
-        } else {
-            self.likely_owner(now, &flow, &service)
-        };
-        let Some(placement) = chosen else {
-            return self.on_no_host(now, segment, &service);
+            Lookup::Service(service) => service.clone(),
         };
+        match self.place(now, &flow, segment.acknowledgment, &service) {
+            Some(placement) => self.forward_to(placement),
+            None => self.on_no_host(now, segment, &service),
+        }
+    }
+
+    /// Forwards a packet of an open flow to its owner. Only the existence of the route counts here: the
+    /// targets of the present catalogue apply to new flows.
+    fn on_open_flow(&mut self, now: Time, flow: &FlowId) -> ForwardingDecision {
+        if self.catalogue.document().is_none() {
+            return ForwardingDecision::Drop(DropReason::NoCatalogue);
+        }
+        if !self.catalogue.has_route(flow.service) {
+            return ForwardingDecision::Drop(DropReason::NoRoute);
+        }
+        match self.cached_owner(now, flow) {
+            Some(placement) => self.forward_to(placement),
+            None => self.forward_to_possible_owners(now, flow),
+        }
+    }
+
+    /// Forwards a packet of an open flow to the preferred host of each service that may own the flow.
+    /// The agents that receive it look up the owner among the hosts of their service.
+    fn forward_to_possible_owners(&self, now: Time, flow: &FlowId) -> ForwardingDecision {
+        let services: BTreeSet<&ServiceName> = self
+            .catalogue
+            .possible_owners(now, flow.service)
+            .chain(self.hosts.services_of_rerouted(now, flow.service))
+            .collect();
+        let hash = flow_hash(flow);
+        let mut copies: Vec<(Ipv4Addr, RelayHeader)> = services
+            .iter()
+            .filter_map(|service| self.hosts.preferred_host(now, service, hash))
+            .map(|record| {
+                let placement = Placement {
+                    run: RunId::default(),
+                    ..to_placement(record)
+                };
+                let mut header = self.header(placement);
+                header.has_copies = services.len() > 1;
+                (placement.agent, header)
+            })
+            .collect();
+        match copies.len() {
+            0 => ForwardingDecision::Drop(DropReason::NoHost),
+            1 => {
+                let (to, header) = copies.remove(0);
+                ForwardingDecision::Forward { to, header }
+            }
+            _ => ForwardingDecision::ForwardCopies(copies),
+        }
+    }
+
+    fn forward_to(&self, placement: Placement) -> ForwardingDecision {
         ForwardingDecision::Forward {
             to: placement.agent,
-            header: RelayHeader::from_balancer(
-                self.own_address,
-                tag,
-                self.catalogue.version(),
-                placement.run,
-            ),
+            header: self.header(placement),
         }
     }
 
+    fn header(&self, placement: Placement) -> RelayHeader {
+        RelayHeader::from_balancer(
+            self.own_address,
+            placement.service,
+            self.catalogue.version(),
+            placement.run,
+        )
+    }
+
     /// Returns whether a packet that cannot be placed is a SYN that is worth queueing, because this
     /// process has just started and may be able to place it soon.
     #[must_use]
@@ -220,8 +280,16 @@
 
     /// Caches the owner of a flow.
     pub fn on_owner(&mut self, now: Time, flow: FlowId, agent: Ipv4Addr) {
-        let run = self.hosts.server_run(agent);
-        self.placements.insert(now, flow, Placement { agent, run });
+        let placement = match (self.hosts.get(agent), self.catalogue.lookup(&flow)) {
+            (Some(record), _) => to_placement(record),
+            (None, Lookup::Service(service)) => Placement {
+                agent,
+                run: RunId::default(),
+                service: ServiceTag::from(service),
+            },
+            (None, Lookup::NoCatalogue | Lookup::NoRoute) => return,
+        };
+        self.placements.insert(now, flow, placement);
     }
 
     /// Returns whether a host accepts new flows and its failure domain is in service.
@@ -298,35 +366,24 @@
         Some(chosen)
     }
 
-    /// Returns the agent that probably owns an open flow: the cached one unless it has departed,
-    /// otherwise the preferred host by rendezvous score.
-    fn likely_owner(
-        &mut self,
-        now: Time,
-        flow: &FlowId,
-        service: &ServiceName,
-    ) -> Option<Placement> {
-        if let Some(placement) = self.placements.touch(now, flow).copied() {
-            let may_be_present = self
-                .hosts
-                .get(placement.agent)
-                .is_none_or(|record| record.announcement.state != HostState::Gone);
-            if may_be_present {
-                return Some(placement);
-            }
-        }
-        self.hosts
-            .preferred_host(now, service, flow_hash(flow))
-            .map(|record| Placement {
-                run: RunId::default(),
-                ..to_placement(record)
-            })
+    /// Returns the cached owner of an open flow, unless its host has departed or its agent's address
+    /// belongs to a host of another service now.
+    fn cached_owner(&mut self, now: Time, flow: &FlowId) -> Option<Placement> {
+        let placement = *self.placements.touch(now, flow)?;
+        let may_be_present = self.hosts.get(placement.agent).is_none_or(|record| {
+            let announcement = &record.announcement;
+            announcement.state != HostState::Gone
+                && ServiceTag::from(&announcement.service) == placement.service
+        });
+        may_be_present.then_some(placement)
     }
 }
 
-const fn to_placement(record: &HostRecord) -> Placement {
+fn to_placement(record: &HostRecord) -> Placement {
+    let announcement = &record.announcement;
     Placement {
-        agent: record.announcement.agent,
-        run: record.announcement.run,
+        agent: announcement.agent,
+        run: announcement.run,
+        service: ServiceTag::from(&announcement.service),
     }
 }
--- a/crates/coordination/src/passthrough/catalogue.rs
+++ b/crates/coordination/src/passthrough/catalogue.rs
@@ -5,11 +5,11 @@
     cardamomloom_core::{DomainName, ServiceName, Span, Time},
     cardamomloom_protocol::passthrough::{
         BalancerHeartbeat, CatalogueDocument, CatalogueVersion, DomainStatus, FlowId, RouteEntry,
-        ServiceEntry,
+        RouteTarget, ServiceEntry,
     },
     log::info,
     std::{
-        collections::{BTreeSet, HashMap, HashSet},
+        collections::{BTreeMap, BTreeSet, HashMap},
         net::SocketAddrV4,
     },
 };
@@ -17,15 +17,32 @@
 /// Time after a restore of the store in which operators write again what it has lost.
 const RESTORE_SETTLING: Span = Span::from_secs(2);
 
+/// Limits of a local replica of the catalogue.
+#[derive(Clone, Copy, Debug)]
+pub struct CatalogueOptions {
+    /// Longest duration of a flow. Hosts of a service that is no longer a target of a route hold no
+    /// flows to its address after this time.
+    pub max_flow_duration: Span,
+}
+
+impl Default for CatalogueOptions {
+    fn default() -> Self {
+        Self {
+            max_flow_duration: Span::from_secs(60),
+        }
+    }
+}
+
 /// Local replica of the catalogue and of the failure domains that are out of service.
 #[derive(Clone, Debug, Default)]
 pub struct CatalogueView {
+    options: CatalogueOptions,
     document: Option<CatalogueDocument>,
     /// Index of the route of each address in `document`.
     routes: HashMap<SocketAddrV4, usize>,
-    /// Addresses whose targets changed while this process ran, so that flows of their former targets
-    /// may still be open.
-    retargeted: HashSet<SocketAddrV4>,
+    /// Services that an address was routed to before, with the time until which their hosts may hold
+    /// flows to it.
+    former_targets: HashMap<SocketAddrV4, BTreeMap<ServiceName, Time>>,
     domain_status: Option<DomainStatus>,
     restored: Option<RestoredDomains>,
     /// Last status that was logged as outdated.
@@ -55,9 +72,18 @@
 }
 
 impl CatalogueView {
+    /// Creates a replica without a catalogue.
+    #[must_use]
+    pub fn new(options: CatalogueOptions) -> Self {
+        Self {
+            options,
+            ..Self::default()
+        }
+    }
+
     /// Replaces and logs the catalogue if `document` has a newer version. Returns whether it was
     /// replaced.
-    pub fn apply_document(&mut self, document: CatalogueDocument) -> bool {
+    pub fn apply_document(&mut self, now: Time, document: CatalogueDocument) -> bool {
         if self.document.is_some() && document.version <= self.version() {
             if document.version < self.version() {
                 info!(
@@ -68,25 +94,39 @@
             }
             return false;
         }
-        for route in &document.routes {
-            let has_new_targets = self
-                .route(route.address)
-                .is_some_and(|previous| !has_same_targets(previous, route));
-            if has_new_targets {
-                self.retargeted.insert(route.address);
-            }
-        }
+        let previous = self.document.replace(document);
+        let routes = self.document.iter().flat_map(|document| &document.routes);
         self.routes = (0..)
-            .zip(&document.routes)
+            .zip(routes)
             .map(|(index, route)| (route.address, index))
             .collect();
-        self.retargeted
-            .retain(|address| self.routes.contains_key(address));
-        info!(event = "catalogue_in_force", version:% = document.version, routes = document.routes.len(); "catalogue is in force");
-        self.document = Some(document);
+        self.update_former_targets(now, previous.map(|document| document.routes));
+        info!(
+            event = "catalogue_in_force", version:% = self.version(), routes = self.routes.len(),
+            former_targets = self.former_targets.len();
+            "catalogue is in force"
+        );
         true
     }
 
+    /// Records the targets of the routes before a change that the present routes do not have, and
+    /// forgets those whose flows have ended.
+    fn update_former_targets(&mut self, now: Time, previous_routes: Option<Vec<RouteEntry>>) {
+        let until = now + self.options.max_flow_duration;
+        for route in previous_routes.into_iter().flatten() {
+            for RouteTarget { service, .. } in route.targets {
+                if !self.has_target(route.address, &service) {
+                    let former_targets = self.former_targets.entry(route.address).or_default();
+                    former_targets.insert(service, until);
+                }
+            }
+        }
+        self.former_targets.retain(|_, targets| {
+            targets.retain(|_, until| now < *until);
+            !targets.is_empty()
+        });
+    }
+
     /// Replaces the status of the failure domains if `status` is from a later position of the store.
     /// Logs and returns whether the set of domains that are out of service changed.
     pub fn apply_domain_status(&mut self, now: Time, status: DomainStatus) -> bool {
@@ -242,17 +282,49 @@
         })
     }
 
-    /// Returns whether `service` is the only service that can hold flows to an address: the route has
-    /// no other target, and had none while this process ran.
+    /// Returns whether the catalogue has a route for an address, whatever the weights of its targets.
     #[must_use]
-    pub fn is_only_target(&self, address: SocketAddrV4, service: &ServiceName) -> bool {
-        self.route(address).is_some_and(|route| {
-            route
-                .targets
-                .iter()
-                .all(|target| target.service == *service)
-                && !self.retargeted.contains(&address)
-        })
+    pub fn has_route(&self, address: SocketAddrV4) -> bool {
+        self.routes.contains_key(&address)
+    }
+
+    /// Returns whether the route of an address has `service` as a target, whatever its weight.
+    #[must_use]
+    pub fn has_target(&self, address: SocketAddrV4, service: &ServiceName) -> bool {
+        let targets = self.route(address).into_iter();
+        targets
+            .flat_map(|route| &route.targets)
+            .any(|target| target.service == *service)
+    }
+
+    /// Returns the services whose hosts may hold flows to an address, as far as this process knows:
+    /// the present targets of its route, whatever their weights, and former ones. A change of the
+    /// catalogue leaves open flows where they are.
+    pub fn possible_owners(
+        &self,
+        now: Time,
+        address: SocketAddrV4,
+    ) -> impl Iterator<Item = &ServiceName> {
+        let present = self.route(address).into_iter();
+        let former = self.former_targets.get(&address).into_iter().flatten();
+        present
+            .flat_map(|route| &route.targets)
+            .map(|target| &target.service)
+            .chain(
+                former
+                    .filter(move |(_, until)| now < **until)
+                    .map(|(service, _)| service),
+            )
+    }
+
+    /// Returns whether `service` is the only service that can hold flows to an address, as far as this
+    /// process knows.
+    #[must_use]
+    pub fn is_only_owner(&self, now: Time, address: SocketAddrV4, service: &ServiceName) -> bool {
+        self.has_route(address)
+            && self
+                .possible_owners(now, address)
+                .all(|owner| owner == service)
     }
 
     /// Returns the priority of the route of an address under overload: 0 is served first, and an
@@ -284,14 +356,6 @@
     }
 }
 
-fn has_same_targets(first: &RouteEntry, second: &RouteEntry) -> bool {
-    let services = |route: &RouteEntry| -> HashSet<ServiceName> {
-        let targets = route.targets.iter();
-        targets.map(|target| target.service.clone()).collect()
-    };
-    services(first) == services(second)
-}
-
 /// Chooses a target of a route by the hash of the flow, in proportion to the weights. Returns
 /// `None` when no target has a positive weight.
 fn weighted_target<'a>(route: &'a RouteEntry, flow: &FlowId) -> Option<&'a ServiceName> {
--- a/crates/coordination/src/passthrough/hosts.rs
+++ b/crates/coordination/src/passthrough/hosts.rs
@@ -8,8 +8,8 @@
         passthrough::{AgentHeartbeat, Announcement, HostAdvertisement, RunId},
     },
     std::{
-        collections::{BTreeMap, BTreeSet},
-        net::Ipv4Addr,
+        collections::{BTreeMap, BTreeSet, btree_map::Entry},
+        net::{Ipv4Addr, SocketAddrV4},
     },
 };
 
@@ -23,6 +23,8 @@
     /// Time without a message from its agent after which a host is removed. Packets of flows that
     /// are older than this can still reach their agent by an owner lookup.
     pub forget_after: Span,
+    /// Longest duration of a flow.
+    pub max_flow_duration: Span,
     /// Pause of this process after which the time without messages from agents is not counted
     /// against them.
     pub pause_threshold: Span,
@@ -34,6 +36,7 @@
             suspect_after: Span::from_millis(1_100),
             max_missed_announcements: 4,
             forget_after: Span::from_secs(20),
+            max_flow_duration: Span::from_secs(60),
             pause_threshold: Span::from_millis(400),
         }
     }
@@ -49,12 +52,55 @@
     pub last_contact: Option<Time>,
     /// Time at which the entry was created.
     pub known_since: Time,
+    /// Rerouted addresses that an earlier process of the agent announced for the same run of the
+    /// backend server. The present process does not know the flows that were opened before it started.
+    inherited: Option<InheritedAddresses>,
+}
+
+#[derive(Clone, Debug)]
+struct InheritedAddresses {
+    addresses: BTreeSet<SocketAddrV4>,
+    /// Time at which the flows to these addresses have ended at the latest.
+    until: Time,
 }
 
 impl HostRecord {
+    fn new(announcement: Announcement, now: Time, last_contact: Option<Time>) -> Self {
+        Self {
+            announcement,
+            last_contact,
+            known_since: now,
+            inherited: None,
+        }
+    }
+
     fn last_evidence(&self) -> Time {
         self.last_contact.unwrap_or(self.known_since)
     }
+
+    /// Returns the addresses that the host may hold flows to although the catalogue routes them to
+    /// other services.
+    fn rerouted_addresses(&self, now: Time) -> impl Iterator<Item = &SocketAddrV4> {
+        let inherited = self.inherited.iter();
+        let inherited = inherited.filter(move |inherited| now < inherited.until);
+        let announced = self.announcement.rerouted_addresses.iter();
+        announced.chain(inherited.flat_map(|inherited| &inherited.addresses))
+    }
+
+    /// Takes over the rerouted addresses of the entry that this one replaces, if another process of the
+    /// agent announced them for the same run of the backend server.
+    fn inherit(&mut self, now: Time, previous: &Self, max_flow_duration: Span) {
+        let (old, new) = (&previous.announcement, &self.announcement);
+        if old.process == new.process {
+            self.inherited.clone_from(&previous.inherited);
+        } else if old.run == new.run || new.run == RunId::default() {
+            let addresses: BTreeSet<SocketAddrV4> =
+                previous.rerouted_addresses(now).copied().collect();
+            let until = now + max_flow_duration;
+            self.inherited =
+                (!addresses.is_empty()).then_some(InheritedAddresses { addresses, until });
+        }
+    }
 }
 
 /// Known hosts by the address of their agent.
@@ -64,6 +110,8 @@
     /// Ordered, so that the same inputs give the same messages in the same order.
     records: BTreeMap<Ipv4Addr, HostRecord>,
     by_service: BTreeMap<ServiceName, BTreeSet<Ipv4Addr>>,
+    /// Agents of the hosts that may hold flows to an address which the catalogue routes elsewhere.
+    by_rerouted_address: BTreeMap<SocketAddrV4, BTreeSet<Ipv4Addr>>,
     last_tick: Time,
     /// End of the latest pause of this process. Time without contact is counted from here at the
     /// earliest, because the process received nothing during the pause.
@@ -78,6 +126,7 @@
             options,
             records: BTreeMap::new(),
             by_service: BTreeMap::new(),
+            by_rerouted_address: BTreeMap::new(),
             last_tick: Time::ZERO,
             last_pause_end: Time::ZERO,
         }
@@ -95,13 +144,9 @@
     /// Stores an announcement, unless the directory has the same or a later one from this run of
     /// the agent. Returns whether the host is new, or its run, state or service changed.
     pub fn on_announcement(&mut self, now: Time, announcement: Announcement) -> bool {
-        let record = HostRecord {
-            last_contact: Some(now),
-            known_since: now,
-            announcement,
-        };
+        let mut record = HostRecord::new(announcement, now, Some(now));
         let agent = record.announcement.agent;
-        let Some(current) = self.records.get_mut(&agent) else {
+        let Some(current) = self.records.get(&agent) else {
             self.insert(record);
             return true;
         };
@@ -113,12 +158,9 @@
             return false;
         }
         let is_change = old.run != new.run || old.state != new.state || old.service != new.service;
-        if old.service == new.service {
-            *current = record;
-        } else {
-            self.remove(agent);
-            self.insert(record);
-        }
+        record.inherit(now, current, self.options.max_flow_duration);
+        self.remove(agent);
+        self.insert(record);
         is_change
     }
 
@@ -146,11 +188,7 @@
         if self.records.contains_key(&announcement.agent) {
             return;
         }
-        self.insert(HostRecord {
-            last_contact: None,
-            known_since: now,
-            announcement,
-        });
+        self.insert(HostRecord::new(announcement, now, None));
     }
 
     /// Removes and returns the hosts without contact for `forget_after`.
@@ -196,6 +234,22 @@
             .filter_map(|agent| self.records.get(agent))
     }
 
+    /// Returns the services of the hosts that may hold flows to an address although the catalogue
+    /// routes it to other services.
+    pub fn services_of_rerouted(
+        &self,
+        now: Time,
+        address: SocketAddrV4,
+    ) -> impl Iterator<Item = &ServiceName> {
+        let agents = self.by_rerouted_address.get(&address);
+        agents
+            .into_iter()
+            .flatten()
+            .filter_map(|agent| self.records.get(agent))
+            .filter(move |record| record.rerouted_addresses(now).any(|held| *held == address))
+            .map(|record| &record.announcement.service)
+    }
+
     /// Returns whether a host is ready and its agent is responsive. The status of its failure
     /// domain is not considered.
     #[must_use]
@@ -295,6 +349,10 @@
             .entry(record.announcement.service.clone())
             .or_default()
             .insert(agent);
+        for address in record.rerouted_addresses(record.known_since) {
+            let agents = self.by_rerouted_address.entry(*address).or_default();
+            agents.insert(agent);
+        }
         self.records.insert(agent, record);
     }
 
@@ -305,5 +363,13 @@
         if let Some(agents) = self.by_service.get_mut(&record.announcement.service) {
             agents.remove(&agent);
         }
+        for address in record.rerouted_addresses(Time::ZERO) {
+            if let Entry::Occupied(mut agents) = self.by_rerouted_address.entry(*address) {
+                agents.get_mut().remove(&agent);
+                if agents.get().is_empty() {
+                    agents.remove();
+                }
+            }
+        }
     }
 }
--- a/crates/coordination/src/passthrough/mod.rs
+++ b/crates/coordination/src/passthrough/mod.rs
@@ -19,7 +19,7 @@
 };
 
 pub use {
-    catalogue::{CatalogueView, Lookup},
+    catalogue::{CatalogueOptions, CatalogueView, Lookup},
     flow_cache::FlowCache,
     hosts::{HostDirectory, HostDirectoryOptions, HostRecord},
     peers::{PeerDirectory, PeerDirectoryOptions},
--- a/crates/coordination/tests/passthrough_cold_start.rs
+++ b/crates/coordination/tests/passthrough_cold_start.rs
@@ -103,7 +103,7 @@
         assert_eq!(open_flow(&mut agent, 5, port), []);
     }
     assert_eq!(delivered(&mut agent, 50), 0, "the limit is unknown");
-    agent.on_catalogue(catalogue(0.0));
+    agent.on_catalogue(Time::from_millis(50), catalogue(0.0));
     assert_eq!(delivered(&mut agent, 100), 3, "the host has no limit");
 }
 
@@ -113,7 +113,7 @@
     for port in 1..=8 {
         assert_eq!(open_flow(&mut agent, 5, port), []);
     }
-    agent.on_catalogue(catalogue(20.0));
+    agent.on_catalogue(Time::ZERO, catalogue(20.0));
     assert_eq!(delivered(&mut agent, 100), 2, "20 flows a second for 0.1 s");
     assert_eq!(delivered(&mut agent, 150), 1);
 }
--- a/crates/coordination/tests/passthrough_hostile_messages.rs
+++ b/crates/coordination/tests/passthrough_hostile_messages.rs
@@ -102,20 +102,33 @@
         any::<u16>(),
         any::<Option<u32>>(),
         0..3_u8,
+        prop::collection::vec(flow().prop_map(|flow| flow.service), 0..4),
     )
         .prop_map(
-            |(agent, numbers, revision, state, interval_ms, digest, service)| Announcement {
+            |(
                 agent,
-                process: RunId(numbers[0]),
-                sequence: numbers[1],
+                numbers,
                 revision,
-                service: format!("service-{service}").parse().expect("valid name"),
-                domain: "domain-0".parse().expect("valid name"),
-                run: RunId(numbers[2]),
                 state,
-                catalogue: CatalogueVersion(numbers[3]),
                 interval_ms,
-                asks_hosts: digest.map(HostListDigest),
+                digest,
+                service,
+                rerouted_addresses,
+            )| {
+                Announcement {
+                    agent,
+                    process: RunId(numbers[0]),
+                    sequence: numbers[1],
+                    revision,
+                    service: format!("service-{service}").parse().expect("valid name"),
+                    domain: "domain-0".parse().expect("valid name"),
+                    run: RunId(numbers[2]),
+                    state,
+                    catalogue: CatalogueVersion(numbers[3]),
+                    interval_ms,
+                    rerouted_addresses,
+                    asks_hosts: digest.map(HostListDigest),
+                }
             },
         )
 }
--- a/crates/coordination/tests/passthrough_lost_flows.rs
+++ b/crates/coordination/tests/passthrough_lost_flows.rs
@@ -76,7 +76,7 @@
         server: SocketAddrV4::new(AGENT, 80),
     };
     let mut agent = Agent::new(AgentOptions::default(), identity, &[], Time::ZERO);
-    agent.on_catalogue(catalogue(1, &["service-0"]));
+    agent.on_catalogue(NOW, catalogue(1, &["service-0"]));
     let mut actions = Vec::new();
     for ago_ms in [2_000, 100] {
         let hosts = heartbeat(&[AGENT, OTHER_AGENT]);
@@ -112,9 +112,13 @@
 }
 
 /// Returns the number of resets after `agent` has received the request and then `answers`.
-fn resets(mut agent: Agent, answers: &[PeerMessage]) -> usize {
+fn resets(agent: Agent, answers: &[PeerMessage]) -> usize {
     let tag = ServiceTag::from(&"service-0".parse().expect("valid name"));
     let header = RelayHeader::from_balancer(BALANCER, tag, CatalogueVersion(1), RunId(1));
+    resets_with_header(agent, header, answers)
+}
+
+fn resets_with_header(mut agent: Agent, header: RelayHeader, answers: &[PeerMessage]) -> usize {
     let mut actions = Vec::new();
     agent.on_relayed(NOW, &header, &request(), &[], &mut actions);
     for answer in answers {
@@ -185,8 +189,8 @@
     );
 
     let mut with_new_target = agent();
-    with_new_target.on_catalogue(catalogue(2, &["service-1"]));
-    with_new_target.on_catalogue(catalogue(3, &["service-0"]));
+    with_new_target.on_catalogue(NOW, catalogue(2, &["service-1"]));
+    with_new_target.on_catalogue(NOW, catalogue(3, &["service-0"]));
     assert_eq!(
         resets(with_new_target, std::slice::from_ref(&denial)),
         0,
@@ -194,8 +198,17 @@
     );
 
     let mut with_two_targets = agent();
-    with_two_targets.on_catalogue(catalogue(2, &["service-0", "service-1"]));
-    assert_eq!(resets(with_two_targets, &[denial]), 0);
+    with_two_targets.on_catalogue(NOW, catalogue(2, &["service-0", "service-1"]));
+    assert_eq!(resets(with_two_targets, std::slice::from_ref(&denial)), 0);
+
+    let tag = ServiceTag::from(&"service-0".parse().expect("valid name"));
+    let mut header = RelayHeader::from_balancer(BALANCER, tag, CatalogueVersion(1), RunId(1));
+    header.has_copies = true;
+    assert_eq!(
+        resets_with_header(agent(), header, &[denial]),
+        0,
+        "the balancer also asks the hosts of another service"
+    );
 }
 
 /// Returns a simulation in which 80 flows pause while all machines lose power for 1.5 s.
--- a/crates/coordination/tests/passthrough_restored_store.rs
+++ b/crates/coordination/tests/passthrough_restored_store.rs
@@ -73,6 +73,7 @@
         state: HostState::Ready,
         catalogue: CatalogueVersion(1),
         interval_ms: 250,
+        rerouted_addresses: Vec::new(),
         asks_hosts: None,
     };
     balancer.on_message(now, PeerMessage::Announcement(announcement));
--- a/crates/coordination/tests/passthrough_scenarios.rs
+++ b/crates/coordination/tests/passthrough_scenarios.rs
@@ -100,6 +100,15 @@
             let is_present = case.take_flag("add").expect("the flag has no value");
             simulation.set_route_present(numeric_arg(case, "number", 1), is_present);
         }
+        "targets" => {
+            let services: Vec<u8> = case.take_args("services").expect("services are numbers");
+            let weights: Vec<u32> = case.take_args("weights").expect("weights are numbers");
+            let targets: Vec<(u8, u32)> = services.into_iter().zip(weights).collect();
+            simulation.set_route_targets(0, &targets);
+        }
+        "idle-timeout" => {
+            simulation.set_idle_timeout(Span::from_millis(numeric_arg(case, "ms", 0)));
+        }
         "open-route" => simulation.open_route(numeric_arg(case, "number", 1)),
         "openings" => {
             return format!("{}\n", simulation.accepted_flows(0)[index]);
--- a/crates/coordination/tests/passthrough_snapshot.rs
+++ b/crates/coordination/tests/passthrough_snapshot.rs
@@ -41,6 +41,7 @@
         state,
         catalogue: CatalogueVersion(1),
         interval_ms: 250,
+        rerouted_addresses: Vec::new(),
         asks_hosts: None,
     };
     balancer.on_message(now, PeerMessage::Announcement(announcement));
--- a/crates/daemon/src/passthrough/agent.rs
+++ b/crates/daemon/src/passthrough/agent.rs
@@ -145,7 +145,7 @@
                 self.execute_actions(now, &[]);
                 self.update_runtime(now);
             }
-            Event::Catalogue(document) => self.agent.on_catalogue(document),
+            Event::Catalogue(document) => self.agent.on_catalogue(now, document),
             Event::DomainStatus(status) => self.agent.on_domain_status(now, status),
             Event::RegisteredBalancers(registrations) => {
                 let balancers = registrations.iter().map(|entry| entry.address);
--- a/crates/daemon/src/passthrough/balancer.rs
+++ b/crates/daemon/src/passthrough/balancer.rs
@@ -184,9 +184,14 @@
         match self.balancer.on_packet(now, &segment) {
             ForwardingDecision::Forward { to, header } => {
                 self.log_placement(now, &segment, to, &header);
-                let header: [u8; RELAY_HEADER_BYTES] = header.encode(self.key, packet);
-                let to = SocketAddrV4::new(to, self.data_port);
-                self.outbox.push(to, &header, packet);
+                self.forward(to, &header, packet);
+            }
+            ForwardingDecision::ForwardCopies(copies) => {
+                metrics::counter!("cardamomloom_copied_packets_total").increment(1);
+                self.log_copies(now, &segment, copies.len());
+                for (to, header) in copies {
+                    self.forward(to, &header, packet);
+                }
             }
             ForwardingDecision::Refuse(reason) => self.refuse(now, &segment, reason),
             ForwardingDecision::Drop(DropReason::NoCatalogue | DropReason::NoHost)
@@ -196,6 +201,21 @@
         }
     }
 
+    fn forward(&mut self, to: Ipv4Addr, header: &RelayHeader, packet: &[u8]) {
+        let header: [u8; RELAY_HEADER_BYTES] = header.encode(self.key, packet);
+        let to = SocketAddrV4::new(to, self.data_port);
+        self.outbox.push(to, &header, packet);
+    }
+
+    fn log_copies(&mut self, now: Time, segment: &Segment, copies: usize) {
+        if self.sample_log.try_acquire(now) {
+            info!(
+                event = "owner_unknown", flow:% = segment.flow_from_caller(), copies;
+                "owner of a flow is not known: packet forwarded to each service that may own it"
+            );
+        }
+    }
+
     /// Forwards the SYNs that were queued while this process knew no catalogue or no host.
     fn drain_startup_queue(&mut self, now: Time) {
         if self.startup_queue.is_empty() || !self.balancer.can_place_flows(now) {
--- a/crates/protocol/src/passthrough/header.rs
+++ b/crates/protocol/src/passthrough/header.rs
@@ -14,7 +14,7 @@
 //! | 28 | 1 | number of visited agents |
 //! | 29 | 1 | position of the least loaded agent among the visited ones |
 //! | 30 | 1 | queue excess of its host: requests that wait beyond its slots; 255 if there is none |
-//! | 31 | 1 | zero |
+//! | 31 | 1 | flags: bit 0 if copies of the packet were sent to other services; the others are zero |
 //! | 32 | 16 | IPv4 addresses of the visited agents |
 //! | 48 | 8 | tag: keyed SipHash-2-4 over bytes 0 to 47 and the first 32 bytes of the packet |
 
@@ -43,6 +43,7 @@
 
 const MAGIC: u16 = 0xca50;
 const VERSION: u8 = 1;
+const COPIES_FLAG: u8 = 1;
 const TAG_OFFSET: usize = 48;
 const TAGGED_PACKET_BYTES: usize = 32;
 
@@ -101,6 +102,9 @@
     pub balancer: Ipv4Addr,
     /// Least loaded of the visited agents.
     pub least_loaded: LeastLoaded,
+    /// Whether the owner of the flow may be a host of another service, so that the balancer looks for
+    /// it there too.
+    pub has_copies: bool,
     visited: [Ipv4Addr; MAX_VISITED],
     visited_count: u8,
 }
@@ -124,6 +128,7 @@
                 position: 0,
                 queue_excess: u8::MAX,
             },
+            has_copies: false,
             visited: [Ipv4Addr::UNSPECIFIED; MAX_VISITED],
             visited_count: 0,
         }
@@ -161,6 +166,7 @@
         header[28] = self.visited_count;
         header[29] = self.least_loaded.position;
         header[30] = self.least_loaded.queue_excess;
+        header[31] = if self.has_copies { COPIES_FLAG } else { 0 };
         for (slot, agent) in header[32..TAG_OFFSET].chunks_exact_mut(4).zip(self.visited) {
             slot.copy_from_slice(&agent.octets());
         }
@@ -217,6 +223,7 @@
                 position: header[29],
                 queue_excess: header[30],
             },
+            has_copies: header[31] & COPIES_FLAG != 0,
             visited,
             visited_count,
         };
--- a/crates/protocol/src/passthrough/message.rs
+++ b/crates/protocol/src/passthrough/message.rs
@@ -13,7 +13,7 @@
     std::{
         fmt,
         hash::{Hash, Hasher},
-        net::Ipv4Addr,
+        net::{Ipv4Addr, SocketAddrV4},
         num::ParseIntError,
         str::FromStr,
     },
@@ -22,6 +22,9 @@
 /// Result of encoding or decoding a control message.
 pub type Result<T> = std::result::Result<T, Error>;
 
+/// Maximum number of rerouted addresses in an [`Announcement`], so that it fits a datagram.
+pub const MAX_REROUTED_ADDRESSES: usize = 64;
+
 /// Name of the protocol in error messages.
 const PROTOCOL: &str = "passthrough";
 
@@ -138,6 +141,10 @@
     pub catalogue: CatalogueVersion,
     /// Time until the next announcement or heartbeat.
     pub interval_ms: u16,
+    /// Addresses that the host holds flows to, although the agent's catalogue routes them to other
+    /// services; at most [`MAX_REROUTED_ADDRESSES`].
+    #[serde(default)]
+    pub rerouted_addresses: Vec<SocketAddrV4>,
     /// Digest of the agent's list of hosts of the service; the balancer sends its list if that has
     /// another digest. `None` if the agent requests no list.
     pub asks_hosts: Option<HostListDigest>,
--- a/crates/protocol/src/passthrough/mod.rs
+++ b/crates/protocol/src/passthrough/mod.rs
@@ -15,8 +15,8 @@
     header::{LeastLoaded, MAX_VISITED, RELAY_HEADER_BYTES, RelayHeader, RelayKind, ServiceTag},
     message::{
         AgentDeparture, AgentHeartbeat, AgentSetDigest, Announcement, BalancerHeartbeat,
-        FlowAbsence, FlowOwner, HostAdvertisement, HostListDigest, HostListPart, PeerMessage,
-        RunId, Snapshot, open, seal,
+        FlowAbsence, FlowOwner, HostAdvertisement, HostListDigest, HostListPart,
+        MAX_REROUTED_ADDRESSES, PeerMessage, RunId, Snapshot, open, seal,
     },
     segment::{FlowId, PacketFormat, Segment, SegmentFlags},
 };
--- a/crates/standins/src/passthrough/simulation/events.rs
+++ b/crates/standins/src/passthrough/simulation/events.rs
@@ -98,6 +98,11 @@
             ForwardingDecision::Forward { to, header } => {
                 self.send(Event::ToAgent(to, header, packet));
             }
+            ForwardingDecision::ForwardCopies(copies) => {
+                for (to, header) in copies {
+                    self.send(Event::ToAgent(to, header, packet.clone()));
+                }
+            }
             ForwardingDecision::Refuse(_) => {
                 let reset = Segment::reset(&segment.flow_from_caller(), 0);
                 self.send(Event::ToCaller(TestPacketFormat.encode(&reset, &[])));
@@ -240,7 +245,7 @@
                 self.store_follower_ticks += 1;
             }
             if access != StoreAccess::None && self.is_store_up {
-                process.core.on_catalogue(self.catalogue.clone());
+                process.core.on_catalogue(now, self.catalogue.clone());
                 process
                     .core
                     .on_domain_status(self.now, self.domain_status.clone());
--- a/crates/standins/src/passthrough/simulation/mod.rs
+++ b/crates/standins/src/passthrough/simulation/mod.rs
@@ -17,7 +17,7 @@
     cardamomloom_core::{DomainName, Span, Time},
     cardamomloom_protocol::passthrough::{
         CatalogueDocument, DomainStatus, FlowId, HostReportState, PeerMessage, RelayHeader,
-        StoreEra, StoreRevision,
+        RouteTarget, StoreEra, StoreRevision,
     },
     layout::{agent_address, balancer_address, initial_catalogue, server_address, service_route},
     rand::{RngExt, SeedableRng},
@@ -335,6 +335,33 @@
         self.oracle.on_route(self.now, address, present_route);
     }
 
+    /// Sets the targets of the route of a service: pairs of a service and its weight. No effect while
+    /// the store is down.
+    pub fn set_route_targets(&mut self, service: u8, targets: &[(u8, u32)]) {
+        if !self.is_store_up {
+            return;
+        }
+        let address = service_route(service);
+        self.catalogue.version.0 += 1;
+        let routes = self.catalogue.routes.iter_mut();
+        for route in routes.filter(|route| route.address == address) {
+            let targets = targets.iter().map(|(target, weight)| RouteTarget {
+                service: service_name(*target),
+                weight: *weight,
+            });
+            route.targets = targets.collect();
+            self.oracle.on_route(self.now, address, Some(route));
+        }
+    }
+
+    /// Sets the idle timeout of flows in the catalogue; no effect while the store is down.
+    pub fn set_idle_timeout(&mut self, idle_timeout: Span) {
+        if self.is_store_up {
+            self.catalogue.version.0 += 1;
+            self.catalogue.idle_timeout_ms = idle_timeout.as_millis();
+        }
+    }
+
     /// Opens a flow to the address of the route that a number identifies, whether or not the route
     /// is present.
     pub fn open_route(&mut self, number: u8) {
