Keep idle flows known until no flow can be that old, and let the catalogue's idle timeout decide about load

Cause: an agent forgot an idle flow after a constant 20 s; the idle timeout of the catalogue was decoded and used nowhere. The next packet started an owner lookup, in which the agent of the flow's own host stated that the host does not hold the flow. That statement came from the agent's table, not from the host.

Change: an open flow stays in the table for as long as any flow may last (60 s), so that its packets are delivered and the host answers for itself. After the idle timeout of the catalogue and 5 s the flow is dormant: it no longer counts against limits, but the agent announces no departure while one is left, and still checks whether its host runs. The placement cache of the balancer follows the idle timeout too. Times in milliseconds that are too large are limited instead of overflowing.

--- a/crates/coordination/src/passthrough/agent/control.rs
+++ b/crates/coordination/src/passthrough/agent/control.rs
@@ -115,7 +115,7 @@
     /// that these flows are lost.
     pub fn should_check_server(&mut self, now: Time) -> bool {
         let is_due = self.is_suspected(now)
-            && self.flows.active() > 0
+            && self.flows.held() > 0
             && self
                 .server_checked_at
                 .is_none_or(|at| now.since(at) >= self.options.server_check_interval);
@@ -162,18 +162,26 @@
             self.options.discovery_interval,
         );
         self.peers.expire(now);
-        let options = self.options;
-        self.flows.expire(|entry| {
+        self.expire_flows(now);
+        self.update_rerouted_addresses();
+        self.announcements(now)
+    }
+
+    /// Removes flows that have ended or are older than any flow. An open flow that has been idle for
+    /// longer than the idle timeout becomes dormant: it no longer counts as load, but only the backend
+    /// server knows whether it has discarded it.
+    fn expire_flows(&mut self, now: Time) {
+        let options = &self.options;
+        let idle_span = Span(self.catalogue.idle_timeout().0 + options.idle_flow_margin.0);
+        self.flows.retain(|entry| {
             let idle = now.since(entry.last_used);
-            match entry.phase {
-                Phase::Open if entry.caller_acknowledgment.is_some() => {
-                    idle > options.idle_flow_retention
-                }
-                _ => idle > options.closed_flow_retention,
+            if matches!(entry.phase, Phase::Open) && entry.caller_acknowledgment.is_some() {
+                entry.is_dormant = idle > idle_span;
+                !entry.is_dormant || now.since(entry.opened) <= options.max_flow_duration
+            } else {
+                idle <= options.closed_flow_retention
             }
         });
-        self.update_rerouted_addresses();
-        self.announcements(now)
     }
 
     /// Processes a control message and returns the messages to send. Resets of flows that no host
@@ -317,7 +325,7 @@
     /// Returns the messages that announce the exit of the agent. There are none if its host may hold
     /// flows, for which balancers and agents must still look.
     pub fn departure_messages(&mut self, now: Time) -> Vec<OutgoingMessage> {
-        if self.flows.active() > 0 || self.may_hold_unknown_flows(now) {
+        if self.flows.held() > 0 || self.may_hold_unknown_flows(now) {
             return Vec::new();
         }
         let own_address = self.identity.address;
--- a/crates/coordination/src/passthrough/agent/flows.rs
+++ b/crates/coordination/src/passthrough/agent/flows.rs
@@ -57,6 +57,9 @@
     pub is_waiting: bool,
     /// Time of the SYN or the first data of the latest request.
     pub waiting_since: Time,
+    /// Whether the flow has been idle for so long that it no longer counts as active. The backend
+    /// server may still hold it.
+    pub is_dormant: bool,
     /// Processes that are notified, once the backend server answers, that this agent owns the flow.
     pub owner_notice_receivers: Vec<Ipv4Addr>,
 }
@@ -73,10 +76,17 @@
             caller_acknowledgment: None,
             has_caller_fin: false,
             has_server_fin: false,
+            is_dormant: false,
             owner_notice_receivers: Vec::new(),
         }
     }
 
+    /// Records a packet of the flow.
+    pub const fn touch(&mut self, now: Time) {
+        self.last_used = now;
+        self.is_dormant = false;
+    }
+
     /// Returns whether a packet with this acknowledgment belongs to the flow of this host, and not
     /// to one of another host that answered the same SYN.
     pub const fn matches_acknowledgment(&self, acknowledgment: u32) -> bool {
@@ -91,7 +101,7 @@
         }
     }
 
-    /// Returns whether the flow is open or its SYN is unanswered.
+    /// Returns whether the flow is open or its SYN is unanswered. A dormant flow counts as open.
     pub const fn is_active(&self) -> bool {
         matches!(self.phase, Phase::SynDelivered { .. } | Phase::Open)
     }
@@ -102,8 +112,10 @@
     }
 
     const fn counts(&self) -> Counts {
-        let is_active = self.is_active();
+        let is_held = self.is_active();
+        let is_active = is_held && !self.is_dormant;
         Counts {
+            held: is_held as usize,
             active: is_active as usize,
             waiting: (is_active && self.is_waiting) as usize,
         }
@@ -112,11 +124,12 @@
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Counts {
+    held: usize,
     active: usize,
     waiting: usize,
 }
 
-/// The flows of one backend server, with the number of active ones and of waiting callers.
+/// The flows of one backend server, with the numbers of held and active ones and of waiting callers.
 #[derive(Debug, Default)]
 pub(super) struct FlowTable {
     flows: HashMap<FlowId, LocalFlow>,
@@ -124,6 +137,12 @@
 }
 
 impl FlowTable {
+    /// Returns the number of flows that the backend server may hold: the active ones and the dormant
+    /// ones.
+    pub const fn held(&self) -> usize {
+        self.counts.held
+    }
+
     /// Returns the number of active flows.
     pub const fn active(&self) -> usize {
         self.counts.active
@@ -138,10 +157,10 @@
         self.flows.get(flow)
     }
 
-    /// Returns the service addresses of the active flows.
+    /// Returns the service addresses of the flows that the backend server may hold.
     pub fn held_addresses(&self) -> BTreeSet<SocketAddrV4> {
-        let active = self.flows.iter().filter(|(_, entry)| entry.is_active());
-        active.map(|(flow, _)| flow.service).collect()
+        let held = self.flows.iter().filter(|(_, entry)| entry.is_active());
+        held.map(|(flow, _)| flow.service).collect()
     }
 
     /// Changes a flow and updates the counts. Returns the result of `change`, or `None` when the
@@ -187,9 +206,9 @@
         extracted
     }
 
-    /// Removes the flows for which `is_expired` holds.
-    pub fn expire(&mut self, is_expired: impl Fn(&LocalFlow) -> bool) {
-        self.flows.retain(|_, entry| !is_expired(entry));
+    /// Keeps the flows for which `is_kept`, which may change them, returns true.
+    pub fn retain(&mut self, mut is_kept: impl FnMut(&mut LocalFlow) -> bool) {
+        self.flows.retain(|_, entry| is_kept(entry));
         self.recount();
     }
 
@@ -197,12 +216,14 @@
         self.counts = Counts::default();
         for entry in self.flows.values() {
             let counts = entry.counts();
+            self.counts.held += counts.held;
             self.counts.active += counts.active;
             self.counts.waiting += counts.waiting;
         }
     }
 
     const fn update_counts(&mut self, old: Counts, new: Counts) {
+        self.counts.held = self.counts.held + new.held - old.held;
         self.counts.active = self.counts.active + new.active - old.active;
         self.counts.waiting = self.counts.waiting + new.waiting - old.waiting;
     }
--- a/crates/coordination/src/passthrough/agent/mod.rs
+++ b/crates/coordination/src/passthrough/agent/mod.rs
@@ -268,7 +268,7 @@
         }
         let is_overloaded = self.is_overloaded();
         self.flows.update(&flow, |entry| {
-            entry.last_used = now;
+            entry.touch(now);
             entry.server_sequence = Some(segment.sequence);
             entry.has_server_fin |= segment.flags.is_fin;
             let is_response = segment.payload_bytes > 0 || segment.flags.is_rst;
--- a/crates/coordination/src/passthrough/agent/options.rs
+++ b/crates/coordination/src/passthrough/agent/options.rs
@@ -22,13 +22,13 @@
     /// Time without a report of the backend server after which the host accepts no new flows: two
     /// reports are missing.
     pub report_timeout: Span,
-    /// Time for which an idle flow stays in the flow table. It is longer than the idle timeout of
-    /// the catalogue.
-    pub idle_flow_retention: Span,
+    /// Time beyond the idle timeout of the catalogue for which an idle flow counts as active.
+    pub idle_flow_margin: Span,
     /// Time for which a closed or unanswered flow stays in the flow table, for late packets of its
     /// caller.
     pub closed_flow_retention: Span,
-    /// Longest duration of a flow. A process that has run for longer knows all flows of its host.
+    /// Longest duration of a flow. A process that has run for longer knows all flows of its host, and
+    /// keeps each of them in the flow table for so long, because an idle one may continue.
     pub max_flow_duration: Span,
     /// Maximum number of flows of other hosts in the owner cache.
     pub owner_cache_capacity: usize,
@@ -85,7 +85,7 @@
             suspect_after: Span::from_millis(300),
             server_check_interval: Span::from_millis(500),
             report_timeout: Span::from_millis(2_200),
-            idle_flow_retention: Span::from_secs(20),
+            idle_flow_margin: Span::from_secs(5),
             closed_flow_retention: Span::from_secs(3),
             max_flow_duration: Span::from_secs(60),
             owner_cache_capacity: 8_192,
--- a/crates/coordination/src/passthrough/agent/segments.rs
+++ b/crates/coordination/src/passthrough/agent/segments.rs
@@ -29,7 +29,7 @@
         });
         if is_local {
             self.flows.update(&flow, |entry| {
-                entry.last_used = now;
+                entry.touch(now);
                 entry.has_caller_fin |= segment.flags.is_fin;
                 let waited = now.since(entry.waiting_since);
                 let is_abandoned = segment.flags.is_fin || segment.flags.is_rst;
--- a/crates/coordination/src/passthrough/balancer/control.rs
+++ b/crates/coordination/src/passthrough/balancer/control.rs
@@ -124,6 +124,9 @@
     /// newer.
     pub fn on_catalogue(&mut self, now: Time, document: CatalogueDocument) -> Vec<OutgoingMessage> {
         if self.catalogue.apply_document(now, document) {
+            let idle_timeout = self.catalogue.idle_timeout();
+            let idle_ttl = idle_timeout.max(self.options.min_placement_cache_ttl);
+            self.placements.set_idle_ttl(idle_ttl);
             self.announce_change(now)
         } else {
             Vec::new()
--- a/crates/coordination/src/passthrough/balancer/mod.rs
+++ b/crates/coordination/src/passthrough/balancer/mod.rs
@@ -38,9 +38,9 @@
     /// Maximum number of flows in the placement cache: four times the share that one of 570
     /// balancers has of 8.3 million flows.
     pub placement_cache_capacity: usize,
-    /// Time for which the placement of an unused flow stays in the cache, equal to the idle timeout
-    /// in the users' catalogues.
-    pub placement_cache_ttl: Span,
+    /// Least time for which the placement of an unused flow stays in the cache; it stays for the idle
+    /// timeout of the catalogue if that is longer.
+    pub min_placement_cache_ttl: Span,
     /// Age of the catalogue up to which packets to an unknown address are refused with a reset.
     /// They are dropped when the catalogue is older, because it may lack a new route.
     pub max_catalogue_age: Span,
@@ -73,7 +73,7 @@
             hosts: HostDirectoryOptions::default(),
             peers: PeerDirectoryOptions::default(),
             placement_cache_capacity: 65_536,
-            placement_cache_ttl: Span::from_secs(15),
+            min_placement_cache_ttl: Span::from_secs(15),
             max_catalogue_age: Span::from_secs(4),
             heartbeat_interval: Span::from_millis(500),
             max_heartbeats_per_s: 60,
@@ -172,7 +172,7 @@
             peers,
             placements: FlowCache::new(
                 options.placement_cache_capacity,
-                options.placement_cache_ttl,
+                options.min_placement_cache_ttl,
             ),
             outages: ServiceOutages::new(options.refuse_after),
             reader_election: ReaderElection::new(options.store_access, own_address, now),
--- a/crates/coordination/src/passthrough/catalogue.rs
+++ b/crates/coordination/src/passthrough/catalogue.rs
@@ -232,6 +232,19 @@
             .unwrap_or_default()
     }
 
+    /// Returns the time after which the state of an idle flow may be discarded: the idle timeout of the
+    /// catalogue, at most the longest duration of a flow, which applies when there is none.
+    #[must_use]
+    pub fn idle_timeout(&self) -> Span {
+        let max_flow_duration = self.options.max_flow_duration;
+        let document = self.document.as_ref();
+        document
+            .filter(|document| document.idle_timeout_ms > 0)
+            .map_or(max_flow_duration, |document| {
+                Span::from_millis(document.idle_timeout_ms).min(max_flow_duration)
+            })
+    }
+
     /// Returns the catalogue.
     #[must_use]
     pub const fn document(&self) -> Option<&CatalogueDocument> {
--- a/crates/coordination/src/passthrough/flow_cache.rs
+++ b/crates/coordination/src/passthrough/flow_cache.rs
@@ -28,6 +28,11 @@
         }
     }
 
+    /// Changes the time to live of all entries.
+    pub const fn set_idle_ttl(&mut self, idle_ttl: Span) {
+        self.idle_ttl = idle_ttl;
+    }
+
     /// Returns the value of a flow and restarts its time to live, or `None` when the value is
     /// missing or expired.
     pub fn touch(&mut self, now: Time, flow: &FlowId) -> Option<&mut T> {
--- a/crates/core/src/time/mod.rs
+++ b/crates/core/src/time/mod.rs
@@ -33,10 +33,10 @@
     /// Start of the process or test.
     pub const ZERO: Self = Self(0);
 
-    /// Returns the time a number of milliseconds after [`Time::ZERO`].
+    /// Returns the time a number of milliseconds after [`Time::ZERO`], limited to the latest time.
     #[must_use]
     pub const fn from_millis(time_ms: u64) -> Self {
-        Self(time_ms * 1_000)
+        Self(time_ms.saturating_mul(1_000))
     }
 
     /// Returns the time in milliseconds, rounded down.
@@ -62,16 +62,16 @@
         Self(span_us)
     }
 
-    /// Returns a span of a number of milliseconds.
+    /// Returns a span of a number of milliseconds, limited to the longest span.
     #[must_use]
     pub const fn from_millis(span_ms: u64) -> Self {
-        Self(span_ms * 1_000)
+        Self(span_ms.saturating_mul(1_000))
     }
 
-    /// Returns a span of a number of seconds.
+    /// Returns a span of a number of seconds, limited to the longest span.
     #[must_use]
     pub const fn from_secs(span_s: u64) -> Self {
-        Self(span_s * 1_000_000)
+        Self(span_s.saturating_mul(1_000_000))
     }
 
     /// Returns the span in milliseconds, rounded down.
--- a/crates/protocol/src/passthrough/document.rs
+++ b/crates/protocol/src/passthrough/document.rs
@@ -82,7 +82,7 @@
     pub routes: Vec<RouteEntry>,
     /// Limits of the services that backend servers belong to.
     pub services: Vec<ServiceEntry>,
-    /// Time after which the state of an idle flow may be discarded.
+    /// Time after which the state of an idle flow may be discarded; 0 if no time is configured.
     pub idle_timeout_ms: u64,
 }
 
