Decode items of lists and watches one by one, so that an odd one costs only itself

Report of other operators: one odd entry (very deeply nested, a number too large, a port out of range) made the machines that read its list end or stop following it. Ended processes were not possible here; a reader that stops following was: the store client decoded a whole page or watch into a tree of values, which fails on nesting beyond 128 levels, on a number such as 1e999, on a lone surrogate and on bytes that are not UTF-8. Configuration, evacuations and registrations were then not read any more, for as long as the entry stood.

Change: pages and watches keep their items as raw JSON, which any depth and number passes, and each item is decoded by itself; metadata apart from the content, so that a failure domain is taken out whatever its entry contains. The client of the object API of the product's own delivery had the same fault; an object with an undecodable value is kept as invalid there, because a complete list that lacks it would delete it.

--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod control;
 pub mod forward;
 pub mod gue;
+pub mod json_body;
 pub mod object;
 pub mod packet;
 pub mod passthrough;
--- a/crates/transport/src/store/mod.rs
+++ b/crates/transport/src/store/mod.rs
@@ -6,6 +6,7 @@
         error::{Error, ErrorKind},
     },
     cardamomloom_protocol::store_api::{ErrorBody, MAX_VALUE_BYTES, Object, ObjectList},
+    log::warn,
     reqwest::{Client, Method, RequestBuilder, Response, StatusCode},
     std::{sync::Arc, time::Duration},
 };
@@ -96,7 +97,7 @@
     /// # Errors
     ///
     /// Fails with kind `store_unavailable` when the store does not respond or cannot serve the
-    /// call.
+    /// call, and with `malformed` when the response is not a list.
     pub async fn list(&self, prefix: &str) -> Result<ObjectList> {
         let request = self
             .client
@@ -106,7 +107,7 @@
         if !response.status().is_success() {
             return Err(unexpected_status(response.status()));
         }
-        decode_body(response).await
+        decode_list(response).await
     }
 
     /// Waits until an object whose key starts with `prefix` changes after version `after`, and
@@ -114,8 +115,7 @@
     ///
     /// # Errors
     ///
-    /// Fails with kind `store_unavailable` when the store does not respond or cannot serve the
-    /// call.
+    /// Fails as [`StoreClient::list`] does.
     pub async fn watch(&self, prefix: &str, after: ObjectVersion) -> Result<ObjectList> {
         let wait_ms = self.options.watch_timeout_ms;
         let request = self
@@ -130,7 +130,7 @@
         if !response.status().is_success() {
             return Err(unexpected_status(response.status()));
         }
-        decode_body(response).await
+        decode_list(response).await
     }
 
     /// Writes an object if its present version is `expected`; version 0 creates the object.
@@ -227,6 +227,17 @@
     }
 }
 
+/// Decodes a list of objects. Those that cannot be decoded are counted and logged.
+async fn decode_list(response: Response) -> Result<ObjectList> {
+    let body = response.bytes().await.map_err(unavailable)?;
+    let (list, errors) = ObjectList::decode(&body)?;
+    for error in &errors {
+        metrics::counter!("cardamomloom_invalid_objects_total").increment(1);
+        warn!(event = "object_invalid"; "object of the store cannot be decoded: {error}");
+    }
+    Ok(list)
+}
+
 async fn decode_body<T: serde::de::DeserializeOwned>(response: Response) -> Result<T> {
     response.json().await.map_err(unavailable)
 }
