--- a/crates/coordination/tests/passthrough_sequences.rs
+++ b/crates/coordination/tests/passthrough_sequences.rs
@@ -10,12 +10,18 @@
 /// Number of random sequences.
 const CASES: u32 = 1_000;
 
-/// Seed of the generator, fixed so that CI has the same result every time.
+/// Number of random sequences with changes of the targets of a route.
+const TARGET_CASES: u32 = 500;
+
+/// Seeds of the generators, fixed so that CI has the same result every time.
 const SEED: [u8; 32] = *b"cardamomloom passthrough changes";
+const TARGET_SEED: [u8; 32] = *b"cardamomloom targets of a route!";
 
 #[derive(Clone, Debug)]
 enum Change {
-    Run { ms: u64 },
+    Run {
+        ms: u64,
+    },
     KillBalancer(usize),
     StartBalancer(usize),
     KillAgent(usize),
@@ -30,8 +36,36 @@
     OpenRoute(u8),
     StoreDown,
     StoreUp,
-    StoreCut { balancer: usize, is_cut: bool },
-    ControlLoss { balancer: usize, is_lossy: bool },
+    StoreCut {
+        balancer: usize,
+        is_cut: bool,
+    },
+    ControlLoss {
+        balancer: usize,
+        is_lossy: bool,
+    },
+    /// Sets the targets of the route of the first service: services and weights.
+    Targets(Vec<(u8, u32)>),
+    IdleTimeout {
+        ms: u64,
+    },
+}
+
+/// Returns a change of the catalogue that leaves open flows where they are.
+fn target_change() -> impl Strategy<Value = Change> {
+    let targets = prop::sample::select(vec![
+        vec![(0, 1)],
+        vec![(1, 1)],
+        vec![(0, 90), (1, 10)],
+        vec![(0, 10), (1, 90)],
+        vec![(0, 0), (1, 1)],
+        vec![(0, 1), (1, 0)],
+    ]);
+    prop_oneof![
+        3 => targets.prop_map(Change::Targets),
+        1 => prop::sample::select(vec![1_000, 15_000, 30_000])
+            .prop_map(|ms| Change::IdleTimeout { ms }),
+    ]
 }
 
 fn change() -> impl Strategy<Value = Change> {
@@ -84,6 +118,8 @@
         Change::ControlLoss { balancer, is_lossy } => {
             simulation.set_inbound_control_loss(balancers[*balancer], *is_lossy);
         }
+        Change::Targets(targets) => simulation.set_route_targets(0, targets),
+        Change::IdleTimeout { ms } => simulation.set_idle_timeout(Span::from_millis(*ms)),
     }
 }
 
@@ -120,14 +156,25 @@
 
 #[test]
 fn verify_that_overlapping_changes_violate_no_guarantee() {
+    check_sequences(CASES, SEED, change());
+}
+
+/// Guards against packets of open flows that are judged by the present targets of their route.
+#[test]
+fn verify_that_changes_of_targets_violate_no_guarantee() {
+    let change = prop_oneof![4 => change(), 1 => target_change()];
+    check_sequences(TARGET_CASES, TARGET_SEED, change);
+}
+
+fn check_sequences(cases: u32, seed: [u8; 32], change: impl Strategy<Value = Change>) {
     let config = ProptestConfig {
-        cases: CASES,
+        cases,
         failure_persistence: None,
         ..ProptestConfig::default()
     };
-    let rng = TestRng::from_seed(proptest::test_runner::RngAlgorithm::ChaCha, &SEED);
+    let rng = TestRng::from_seed(proptest::test_runner::RngAlgorithm::ChaCha, &seed);
     let mut runner = proptest::test_runner::TestRunner::new_with_rng(config, rng);
-    let strategy = (any::<u64>(), prop::collection::vec(change(), 4..24));
+    let strategy = (any::<u64>(), prop::collection::vec(change, 4..24));
     let outcome = runner.run(&strategy, |(seed, changes)| {
         let simulation = simulate(seed, &changes);
         let violations: Vec<String> = simulation
