Let agents and balancers find each other again after any silence

Cause: processes forgot balancers after 60 s of silence, seeds too, and an agent listed the registry once, at its start. With seven balancers or more an agent also forgot balancers that run, because it asked only those that it had just heard.

Change: seeds are never forgotten; an agent without a live balancer lists the registry again, with back-off and spread; it asks balancers that have been silent before it would remove them.

--- a/crates/coordination/src/passthrough/agent/control.rs
+++ b/crates/coordination/src/passthrough/agent/control.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         Action, Agent, ColdStartBucket, Host, HostReportState, Phase, ReportOutcome,
-        host::is_new_run, host_list::PartialHostList,
+        host::is_new_run, host_list::PartialHostList, registry_retry::RegistryRetry,
     },
     crate::passthrough::{OutgoingMessage, StoreAccess, as_millis_u16, paced_interval, stagger},
     cardamomloom_core::{Span, Time},
@@ -42,6 +42,7 @@
     pub hosts_digest: HostListDigest,
     /// Addresses that the host holds flows to and that the catalogue routes to other services.
     rerouted_addresses: Vec<SocketAddrV4>,
+    registry_retry: RegistryRetry,
     stopping_since: Option<Time>,
     /// A balancer that has a newer catalogue.
     newer_balancer: Option<Ipv4Addr>,
@@ -346,6 +347,23 @@
             .collect()
     }
 
+    /// Applies changed seeds of the settings. If any is new, the next tick announces the host.
+    pub fn set_seeds(&mut self, now: Time, seeds: &[Ipv4Addr]) {
+        if self.peers.set_seeds(now, seeds) {
+            self.control.next_announcement = Time::ZERO;
+        }
+    }
+
+    /// Returns whether to list the registered balancers now. While no balancer is live, the agent does
+    /// so with growing intervals, since balancers may have started at addresses that it does not know.
+    pub fn should_list_balancers(&mut self, now: Time) -> bool {
+        let has_balancer = self.peers.live(now).next().is_some();
+        let address = self.identity.address;
+        self.control
+            .registry_retry
+            .is_due(now, has_balancer, address)
+    }
+
     /// Adds addresses at which balancers may run. If any is new, the next tick announces the host.
     pub fn add_balancers(&mut self, now: Time, balancers: impl IntoIterator<Item = Ipv4Addr>) {
         if self.peers.add_all(now, balancers) {
@@ -409,22 +427,25 @@
 
     /// Returns the messages to all balancers: announcements for [`REPEAT_SPAN`] after a change of
     /// the state and while no balancer is live, otherwise heartbeats, which only refer to the
-    /// announced state. Each time, another live balancer is asked for the hosts of the service;
-    /// when none is live, all balancers are asked.
+    /// announced state. Each time, another live balancer is asked for the hosts of the service, and
+    /// some of those that are not live, which may run and have had no reason to send anything; when
+    /// none is live, all balancers are asked.
     fn announcements(&mut self, now: Time) -> Vec<OutgoingMessage> {
         let balancers: Vec<Ipv4Addr> = self.peers.addresses().collect();
         let live: Vec<Ipv4Addr> = self.peers.live(now).collect();
         let announcement = self.announcement(now);
         let turn = usize::try_from(self.control.sequence).unwrap_or_default();
         let asked_balancer = live.get(turn % live.len().max(1)).copied();
+        let interval = self.announcement_interval();
+        let asked_silent = self.peers.choose_silent(now, interval);
         let sends_announcement =
             asked_balancer.is_none() || now.since(self.control.last_change) <= REPEAT_SPAN;
         balancers
             .into_iter()
             .map(|to| {
-                let asks_hosts = asked_balancer
-                    .is_none_or(|asked| asked == to)
-                    .then_some(self.control.hosts_digest);
+                let is_asked =
+                    asked_balancer.is_none_or(|asked| asked == to) || asked_silent.contains(&to);
+                let asks_hosts = is_asked.then_some(self.control.hosts_digest);
                 let message = if sends_announcement {
                     PeerMessage::Announcement(Announcement {
                         asks_hosts,
--- a/crates/coordination/src/passthrough/agent/mod.rs
+++ b/crates/coordination/src/passthrough/agent/mod.rs
@@ -9,6 +9,7 @@
 mod lookup;
 mod options;
 mod outcomes;
+mod registry_retry;
 mod segments;
 mod syn_queue;
 
@@ -187,7 +188,7 @@
         now: Time,
     ) -> Self {
         let mut peers = PeerDirectory::new(identity.address, options.peers);
-        peers.add_all(now, seeds.iter().copied());
+        peers.set_seeds(now, seeds);
         Self {
             tag: ServiceTag::from(&identity.service),
             started: now,
--- a/crates/coordination/src/passthrough/balancer/control.rs
+++ b/crates/coordination/src/passthrough/balancer/control.rs
@@ -261,6 +261,13 @@
             .collect()
     }
 
+    /// Applies changed seeds of the settings. If any is new, the next tick sends heartbeats.
+    pub fn set_seeds(&mut self, now: Time, seeds: &[Ipv4Addr]) {
+        if self.peers.set_seeds(now, seeds) {
+            self.control.next_heartbeat = Time::ZERO;
+        }
+    }
+
     /// Adds addresses at which balancers may run. If any is new, the next tick sends heartbeats.
     pub fn add_balancers(&mut self, now: Time, balancers: impl IntoIterator<Item = Ipv4Addr>) {
         if self.peers.add_all(now, balancers) {
--- a/crates/coordination/src/passthrough/balancer/mod.rs
+++ b/crates/coordination/src/passthrough/balancer/mod.rs
@@ -163,7 +163,7 @@
         now: Time,
     ) -> Self {
         let mut peers = PeerDirectory::new(own_address, options.peers);
-        peers.add_all(now, seeds.iter().copied());
+        peers.set_seeds(now, seeds);
         Self {
             own_address,
             started: now,
--- a/crates/coordination/src/passthrough/peers.rs
+++ b/crates/coordination/src/passthrough/peers.rs
@@ -3,7 +3,10 @@
 use {
     cardamomloom_core::{Span, Time},
     cardamomloom_protocol::passthrough::BalancerHeartbeat,
-    std::{collections::BTreeMap, net::Ipv4Addr},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        net::Ipv4Addr,
+    },
 };
 
 /// Timeouts of the failure detection of balancers.
@@ -17,6 +20,8 @@
     /// Time without a heartbeat after which a balancer is removed. It is longer than an outage of
     /// a machine, so that a balancer that returns at its address is found at once.
     pub forget_after: Span,
+    /// Longest interval of the messages with which a process looks for balancers while none is live.
+    pub max_discovery_interval: Span,
 }
 
 impl Default for PeerDirectoryOptions {
@@ -25,6 +30,7 @@
             suspect_after: Span::from_millis(1_600),
             max_missed_heartbeats: 3,
             forget_after: Span::from_secs(60),
+            max_discovery_interval: Span::from_secs(1),
         }
     }
 }
@@ -38,14 +44,25 @@
     is_stopping: bool,
     is_initialized: bool,
     heartbeat_interval: Span,
+    /// Time of the last question while it was silent.
+    last_asked: Option<Time>,
 }
 
+/// Share of the time without any live balancer that the interval of discovery messages has, as a
+/// divisor.
+const DISCOVERY_BACKOFF_DIVISOR: u64 = 16;
+
 /// Known balancers by address, without the process itself.
 #[derive(Debug)]
 pub struct PeerDirectory {
     options: PeerDirectoryOptions,
     own_address: Ipv4Addr,
     peers: BTreeMap<Ipv4Addr, Peer>,
+    /// Addresses from the settings. They get messages also while no balancer there is known, so that
+    /// processes find each other again after a silence of any length.
+    seeds: BTreeSet<Ipv4Addr>,
+    /// Latest time at which a heartbeat arrived or a new address was added.
+    last_sign: Time,
     /// Time at which a balancer last sent its first heartbeat or was removed.
     last_change: Time,
 }
@@ -58,10 +75,20 @@
             options,
             own_address,
             peers: BTreeMap::new(),
+            seeds: BTreeSet::new(),
+            last_sign: Time::ZERO,
             last_change: Time::ZERO,
         }
     }
 
+    /// Sets the seeds of the settings and adds them as addresses at which balancers may run. Returns
+    /// whether any of them is new.
+    pub fn set_seeds(&mut self, now: Time, seeds: &[Ipv4Addr]) -> bool {
+        let others = seeds.iter().filter(|seed| **seed != self.own_address);
+        self.seeds = others.copied().collect();
+        self.add_all(now, seeds.iter().copied())
+    }
+
     /// Adds an address at which a balancer may run. Returns whether it is new.
     pub fn add(&mut self, now: Time, balancer: Ipv4Addr) -> bool {
         if balancer == self.own_address || self.peers.contains_key(&balancer) {
@@ -76,8 +103,10 @@
                 is_stopping: false,
                 is_initialized: false,
                 heartbeat_interval: Span::ZERO,
+                last_asked: None,
             },
         );
+        self.last_sign = now;
         true
     }
 
@@ -106,6 +135,7 @@
                 self.last_change = now;
             }
             peer.last_heartbeat = Some(now);
+            self.last_sign = now;
             peer.is_reader = heartbeat.is_reader;
             peer.is_stopping = heartbeat.is_stopping;
             peer.is_initialized = heartbeat.is_informed;
@@ -132,9 +162,11 @@
         self.last_change
     }
 
-    /// Returns all known addresses, also those from which no heartbeat has been received.
+    /// Returns all known addresses and the seeds, also those from which no heartbeat has been received.
     pub fn addresses(&self) -> impl Iterator<Item = Ipv4Addr> {
-        self.peers.keys().copied()
+        let seeds = self.seeds.iter();
+        let silent_seeds = seeds.filter(|seed| !self.peers.contains_key(seed));
+        self.peers.keys().chain(silent_seeds).copied()
     }
 
     /// Returns the balancers that have sent a heartbeat. Only these are listed in heartbeats and
@@ -163,16 +195,45 @@
             .map(|(balancer, _)| *balancer)
     }
 
-    /// Returns the time at which the process sends its next heartbeat: after `interval`, or after
-    /// `discovery_interval` while no balancer is live.
+    /// Chooses balancers to ask besides the live ones, and records the question: some of those that are
+    /// not live, because they have sent no heartbeat for a while, the longest unasked first. With a
+    /// choice each `interval`, each of them is asked before it would be removed.
+    ///
+    /// Returns none when the live balancers, one of which is asked each `interval`, are so few that each
+    /// answers before it counts as silent. A silent balancer is then not running.
+    pub fn choose_silent(&mut self, now: Time, interval: Span) -> Vec<Ipv4Addr> {
+        if self.peers.len() as u64 * interval.0 <= self.options.suspect_after.0 {
+            return Vec::new();
+        }
+        let mut silent: Vec<(Option<Time>, Ipv4Addr)> = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| !self.is_live(now, peer))
+            .map(|(balancer, peer)| (peer.last_asked, *balancer))
+            .collect();
+        silent.sort_unstable();
+        let turns = self.options.forget_after.0 / 2 / interval.0.max(1);
+        let turns = usize::try_from(turns.max(1)).unwrap_or(usize::MAX);
+        silent.truncate(silent.len().div_ceil(turns));
+        for (_, balancer) in &silent {
+            if let Some(peer) = self.peers.get_mut(balancer) {
+                peer.last_asked = Some(now);
+            }
+        }
+        silent.into_iter().map(|(_, balancer)| balancer).collect()
+    }
+
+    /// Returns the time at which the process sends its next heartbeat: after `interval`, or while no
+    /// balancer is live after `discovery_interval`, which grows with the time that this lasts up to
+    /// `max_discovery_interval`.
     #[must_use]
     pub fn next_heartbeat_at(&self, now: Time, interval: Span, discovery_interval: Span) -> Time {
-        let has_no_peers = self.live(now).next().is_none();
-        now + if has_no_peers {
-            discovery_interval
-        } else {
-            interval
+        if self.live(now).next().is_some() {
+            return now + interval;
         }
+        let backoff = Span(now.since(self.last_sign).0 / DISCOVERY_BACKOFF_DIVISOR);
+        let max_interval = self.options.max_discovery_interval;
+        now + backoff.min(max_interval).max(discovery_interval)
     }
 
     /// Returns a live balancer that can answer a request for a snapshot. Consecutive values of
--- a/crates/daemon/src/passthrough/agent.rs
+++ b/crates/daemon/src/passthrough/agent.rs
@@ -6,6 +6,7 @@
         Result,
         log_limit::LogRateLimiter,
         node::{Event, NodeRuntime, TICK, run_loop},
+        registry,
         server_check::is_server_absent,
         sockets::{Outbox, PacketSocket},
     },
@@ -191,7 +192,7 @@
                     self.execute_actions(now, &[]);
                 }
             }
-            Event::Seeds(seeds) => self.agent.add_balancers(now, seeds),
+            Event::Seeds(seeds) => self.agent.set_seeds(now, &seeds),
             Event::Stop => {
                 info!(
                     event = "stopping";
@@ -207,6 +208,7 @@
         let now = self.runtime.clock.now();
         self.send_control_messages(now);
         self.update_runtime(now);
+        self.list_balancers_if_due(now);
         self.publish_metrics(now);
         if self.agent.can_exit(now) {
             let outgoing = self.agent.departure_messages(now);
@@ -217,6 +219,16 @@
         after!(TICK, [cx], on_tick());
     }
 
+    /// Lists the registered balancers again while none answers.
+    fn list_balancers_if_due(&mut self, now: Time) {
+        if self.agent.should_list_balancers(now) {
+            let (_, _, balancers) = self.agent.counts();
+            info!(event = "registry_retry", balancers; "no balancer answers: listing the registered ones again");
+            let (store, events) = (self.runtime.store.clone(), self.runtime.events.clone());
+            tokio::spawn(async move { registry::list_once(&store, &events).await });
+        }
+    }
+
     /// Runs the periodic work of the agent and sends the announcements that are due.
     fn send_control_messages(&mut self, now: Time) {
         let outgoing = self.agent.on_tick(now);
--- a/crates/daemon/src/passthrough/balancer.rs
+++ b/crates/daemon/src/passthrough/balancer.rs
@@ -144,7 +144,7 @@
             Event::StatusRequest(reply) => {
                 let _ = reply.send(self.status(now));
             }
-            Event::Seeds(seeds) => self.balancer.add_balancers(now, seeds),
+            Event::Seeds(seeds) => self.balancer.set_seeds(now, &seeds),
             Event::Stop => self.stop(cx, now),
             Event::ServerPacketsReady
             | Event::Report(..)
--- a/crates/daemon/src/passthrough/node.rs
+++ b/crates/daemon/src/passthrough/node.rs
@@ -117,6 +117,8 @@
     pub server_checker: ServerChecker,
     /// Client of the store.
     pub store: ObjectStore,
+    /// Events of the process, for tasks that the actor starts.
+    pub events: mpsc::Sender<Event>,
 }
 
 impl NodeRuntime {
@@ -173,10 +175,11 @@
             snapshot_fetcher: SnapshotFetcher::new(settings.http_port, events.clone())?,
             server_checker: ServerChecker {
                 clock,
-                events,
+                events: events.clone(),
                 is_busy: false,
             },
             store,
+            events,
         };
         Ok((runtime, inbox))
     }
--- a/crates/daemon/src/passthrough/registry.rs
+++ b/crates/daemon/src/passthrough/registry.rs
@@ -44,30 +44,40 @@
 pub async fn list_balancers(store: ObjectStore, events: mpsc::Sender<Event>) -> Vec<Registration> {
     let mut backoff = MIN_BACKOFF;
     loop {
-        match registry::list(&store).await {
-            Ok(registrations) => {
-                info!(
-                    event = "registry_read", balancers = registrations.len();
-                    "read the registered balancers from the store"
-                );
-                // The receiver is dropped only when the process stops.
-                let _ = events
-                    .send(Event::RegisteredBalancers(registrations.clone()))
-                    .await;
-                return registrations;
-            }
-            Err(error) => {
-                warn!(
-                    event = "registry_unavailable";
-                    "cannot list the registered balancers, retrying: {error}"
-                );
-            }
+        if let Some(registrations) = list_once(&store, &events).await {
+            return registrations;
         }
         tokio::time::sleep(backoff).await;
         backoff = (backoff * 2).min(MAX_BACKOFF);
     }
 }
 
+/// Lists the registered balancers and sends them as an event. Returns `None` after logging the error
+/// when the call fails.
+pub async fn list_once(
+    store: &ObjectStore,
+    events: &mpsc::Sender<Event>,
+) -> Option<Vec<Registration>> {
+    let registrations = registry::list(store)
+        .await
+        .inspect_err(|error| {
+            warn!(
+                event = "registry_unavailable";
+                "cannot list the registered balancers, retrying later: {error}"
+            );
+        })
+        .ok()?;
+    info!(
+        event = "registry_read", balancers = registrations.len();
+        "read the registered balancers from the store"
+    );
+    // The receiver is dropped only when the process stops.
+    let _ = events
+        .send(Event::RegisteredBalancers(registrations.clone()))
+        .await;
+    Some(registrations)
+}
+
 /// Registers this balancer, and lists all registrations periodically: every [`AUDIT_INTERVAL`]
 /// while it reads the store, and less often otherwise. A missing registration of its own is written
 /// again; after a restore of the store, which may have lost it, without a list.
--- a/crates/standins/src/passthrough/simulation/mod.rs
+++ b/crates/standins/src/passthrough/simulation/mod.rs
@@ -279,6 +279,20 @@
         self.balancers.keys().copied().collect()
     }
 
+    /// Returns the number of hosts that a balancer knows.
+    #[must_use]
+    pub fn known_hosts(&self, balancer: Ipv4Addr) -> usize {
+        let process = self.balancers.get(&balancer);
+        process.map_or(0, |process| process.core.counts().0)
+    }
+
+    /// Returns the number of balancers that an agent knows.
+    #[must_use]
+    pub fn known_balancers(&self, agent: Ipv4Addr) -> usize {
+        let process = self.agents.get(&agent);
+        process.map_or(0, |process| process.core.counts().2)
+    }
+
     /// Returns the number of open flows of the backend server beside an agent.
     #[must_use]
     pub fn open_flows(&self, agent: Ipv4Addr) -> usize {
