--- a/crates/daemon/src/passthrough/node.rs
+++ b/crates/daemon/src/passthrough/node.rs
@@ -57,6 +57,10 @@
 /// Timeout of fetching a snapshot from a peer.
 const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Longest transfer of a snapshot whose bytes keep coming. A snapshot holds the catalogue, which may be
+/// as large as an object of the store.
+const MAX_SNAPSHOT_TRANSFER: Duration = Duration::from_secs(17);
+
 /// An event for the actor of a process.
 #[derive(Debug)]
 pub enum Event {
@@ -310,7 +314,9 @@
         let client = reqwest::Client::builder()
             .no_proxy()
             .pool_max_idle_per_host(0)
-            .timeout(SNAPSHOT_TIMEOUT)
+            .connect_timeout(SNAPSHOT_TIMEOUT)
+            .read_timeout(SNAPSHOT_TIMEOUT)
+            .timeout(MAX_SNAPSHOT_TRANSFER)
             .build()
             .map_err(|error| io(format!("snapshot: cannot create the HTTP client: {error}")))?;
         Ok(Self {
