--- a/crates/coordination/src/passthrough/agent/admission.rs
+++ b/crates/coordination/src/passthrough/agent/admission.rs
@@ -2,11 +2,11 @@
 //! another host.
 
 use {
-    super::{Action, Agent, DropReason, LocalFlow, Phase, has_visited, previous_hops},
+    super::{Action, Agent, DropReason, LocalFlow, Phase, QueuedSyn, has_visited, previous_hops},
     crate::passthrough::{flow_hash, rendezvous_score},
     cardamomloom_core::Time,
     cardamomloom_protocol::passthrough::{
-        FlowId, HostReportState, LeastLoaded, RelayHeader, RelayKind, RunId,
+        FlowId, HostReportState, LeastLoaded, RelayHeader, RelayKind, RunId, Segment,
     },
     std::net::Ipv4Addr,
 };
@@ -42,6 +42,28 @@
         self.unanswered_since.get_or_insert(now);
     }
 
+    /// Queues the SYN of a flow until the host has room, or until the limit of a cold host is known
+    /// and allows the flow.
+    pub(super) fn queue_syn(
+        &mut self,
+        now: Time,
+        flow: FlowId,
+        header: &RelayHeader,
+        segment: &Segment,
+        packet: &[u8],
+    ) {
+        self.syn_queue.push(
+            now,
+            QueuedSyn {
+                flow,
+                priority: self.catalogue.priority(flow.service),
+                retransmissions: segment.acknowledgment,
+                header: *header,
+                packet: packet.into(),
+            },
+        );
+    }
+
     /// Delivers queued SYNs to the backend server while it has capacity. Besides the packets of the
     /// backend server, a new catalogue and the passing of time can give it capacity.
     pub fn deliver_queued_syns(&mut self, now: Time, actions: &mut Vec<Action>) {
--- a/crates/coordination/src/passthrough/agent/control.rs
+++ b/crates/coordination/src/passthrough/agent/control.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        Action, Agent, ColdStartBucket, Host, HostReportState, Phase, ReportOutcome,
-        host::is_new_run, host_list::PartialHostList, registry_retry::RegistryRetry,
+        Action, Agent, ColdStartBucket, Host, HostReportState, ReportOutcome, host::is_new_run,
+        host_list::PartialHostList, registry_retry::RegistryRetry,
     },
     crate::passthrough::{OutgoingMessage, StoreAccess, as_millis_u16, paced_interval, stagger},
     cardamomloom_core::{Span, Time},
@@ -11,8 +11,7 @@
         control::HostState,
         passthrough::{
             AgentDeparture, AgentHeartbeat, Announcement, BalancerHeartbeat, CatalogueDocument,
-            DomainStatus, HostListDigest, HostReport, MAX_REROUTED_ADDRESSES, PeerMessage,
-            Snapshot,
+            DomainStatus, HostListDigest, HostReport, PeerMessage, Snapshot,
         },
     },
     log::{info, warn},
@@ -28,7 +27,7 @@
 
 #[derive(Debug, Default)]
 pub(super) struct ControlState {
-    next_announcement: Time,
+    pub next_announcement: Time,
     sequence: u64,
     last_announcement: Option<Announcement>,
     /// Time at which the announced state last changed.
@@ -41,7 +40,7 @@
     /// Digest of the hosts of the service that the agent knows.
     pub hosts_digest: HostListDigest,
     /// Addresses that the host holds flows to and that the catalogue routes to other services.
-    rerouted_addresses: Vec<SocketAddrV4>,
+    pub rerouted_addresses: Vec<SocketAddrV4>,
     registry_retry: RegistryRetry,
     stopping_since: Option<Time>,
     /// A balancer that has a newer catalogue.
@@ -168,23 +167,6 @@
         self.announcements(now)
     }
 
-    /// Removes flows that have ended or are older than any flow. An open flow that has been idle for
-    /// longer than the idle timeout becomes dormant: it no longer counts as load, but only the backend
-    /// server knows whether it has discarded it.
-    fn expire_flows(&mut self, now: Time) {
-        let options = &self.options;
-        let idle_span = Span(self.catalogue.idle_timeout().0 + options.idle_flow_margin.0);
-        self.flows.retain(|entry| {
-            let idle = now.since(entry.last_used);
-            if matches!(entry.phase, Phase::Open) && entry.caller_acknowledgment.is_some() {
-                entry.is_dormant = idle > idle_span;
-                !entry.is_dormant || now.since(entry.opened) <= options.max_flow_duration
-            } else {
-                idle <= options.closed_flow_retention
-            }
-        });
-    }
-
     /// Processes a control message and returns the messages to send. Resets of flows that no host
     /// holds are appended to `actions`.
     pub fn on_message(
@@ -225,28 +207,6 @@
         }
     }
 
-    /// Determines the addresses that the host holds flows to although the catalogue routes them to
-    /// other services. Balancers learn them by the next announcement.
-    fn update_rerouted_addresses(&mut self) {
-        let mut addresses: Vec<SocketAddrV4> = self.flows.held_addresses().into_iter().collect();
-        addresses.retain(|address| {
-            self.catalogue.has_route(*address)
-                && !self.catalogue.has_target(*address, &self.identity.service)
-        });
-        let held = addresses.len();
-        addresses.truncate(MAX_REROUTED_ADDRESSES);
-        if addresses == self.control.rerouted_addresses {
-            return;
-        }
-        info!(
-            event = "rerouted_addresses", held, announced = addresses.len(),
-            catalogue:% = self.catalogue.version();
-            "set of addresses changed that the host holds flows to and that are routed to other services"
-        );
-        self.control.rerouted_addresses = addresses;
-        self.control.next_announcement = Time::ZERO;
-    }
-
     /// Applies the status of the failure domains.
     pub fn on_domain_status(&mut self, now: Time, status: DomainStatus) {
         self.catalogue.apply_domain_status(now, status);
@@ -410,21 +370,6 @@
         OutgoingMessage::to_each(receivers, &message).collect()
     }
 
-    /// Resets the flows that were opened before the last report of the previous run. Later ones may
-    /// belong to the current run; if they do not, the backend server returns their packets.
-    fn reset_flows(&mut self, previous_report: Time, actions: &mut Vec<Action>) {
-        let lost = self
-            .flows
-            .extract_if(|entry| entry.is_active() && entry.opened < previous_report);
-        let resets = lost.into_iter().filter_map(|(flow, entry)| {
-            matches!(entry.phase, Phase::Open)
-                .then_some(entry.caller_acknowledgment)
-                .flatten()
-                .map(|sequence| Action::Reset { flow, sequence })
-        });
-        actions.extend(resets);
-    }
-
     /// Returns the messages to all balancers: announcements for [`REPEAT_SPAN`] after a change of
     /// the state and while no balancer is live, otherwise heartbeats, which only refer to the
     /// announced state. Each time, another live balancer is asked for the hosts of the service, and
--- a/crates/coordination/src/passthrough/agent/mod.rs
+++ b/crates/coordination/src/passthrough/agent/mod.rs
@@ -3,6 +3,7 @@
 
 mod admission;
 mod control;
+mod flow_upkeep;
 mod flows;
 mod host;
 mod host_list;
@@ -410,28 +411,6 @@
         actions.push(Action::Deliver);
     }
 
-    /// Queues the SYN of a flow until the host has room, or until the limit of a cold host is known
-    /// and allows the flow.
-    fn queue_syn(
-        &mut self,
-        now: Time,
-        flow: FlowId,
-        header: &RelayHeader,
-        segment: &Segment,
-        packet: &[u8],
-    ) {
-        self.syn_queue.push(
-            now,
-            QueuedSyn {
-                flow,
-                priority: self.catalogue.priority(flow.service),
-                retransmissions: segment.acknowledgment,
-                header: *header,
-                packet: packet.into(),
-            },
-        );
-    }
-
     /// Informs the agent that looks up a flow when the backend server rejected the packet that was
     /// delivered to find out whether it holds the flow.
     fn report_failed_probe(
--- a/crates/coordination/src/passthrough/balancer/control.rs
+++ b/crates/coordination/src/passthrough/balancer/control.rs
@@ -11,8 +11,8 @@
     cardamomloom_core::{DomainName, Span, Time},
     cardamomloom_protocol::passthrough::{
         AgentHeartbeat, Announcement, BalancerHeartbeat, CatalogueDocument, CatalogueVersion,
-        DomainStatus, HostAdvertisement, HostListDigest, PeerMessage, Registration, Snapshot,
-        StoreEra, StorePosition,
+        DomainStatus, HostAdvertisement, HostListDigest, PeerMessage, Snapshot, StoreEra,
+        StorePosition,
     },
     log::info,
     std::net::Ipv4Addr,
@@ -65,7 +65,7 @@
 
 #[derive(Debug, Default)]
 pub(super) struct ControlState {
-    next_heartbeat: Time,
+    pub next_heartbeat: Time,
     pub host_changes: HostChanges,
     /// Counts heartbeat rounds and snapshot requests. It selects the position at which the list of
     /// balancers starts, and the source of a snapshot.
@@ -242,39 +242,6 @@
         self.on_tick(now)
     }
 
-    /// Adds the balancers that are registered in the store, and returns the registrations to
-    /// remove. Only the reader with the lowest address removes registrations, once it has run for
-    /// [`registration_timeout`](super::BalancerOptions::registration_timeout): those of balancers
-    /// that have not sent a heartbeat since they entered the directory.
-    pub fn on_registry(&mut self, now: Time, registrations: &[Registration]) -> Vec<Registration> {
-        self.add_balancers(now, registrations.iter().map(|entry| entry.address));
-        let may_remove = now.since(self.started) >= self.options.registration_timeout
-            && self.is_reader(now)
-            && self.peers.preceding_readers(now, self.own_address) == 0;
-        registrations
-            .iter()
-            .filter(|entry| {
-                entry.address != self.own_address && !self.peers.has_contacted(entry.address)
-            })
-            .filter(|_| may_remove)
-            .copied()
-            .collect()
-    }
-
-    /// Applies changed seeds of the settings. If any is new, the next tick sends heartbeats.
-    pub fn set_seeds(&mut self, now: Time, seeds: &[Ipv4Addr]) {
-        if self.peers.set_seeds(now, seeds) {
-            self.control.next_heartbeat = Time::ZERO;
-        }
-    }
-
-    /// Adds addresses at which balancers may run. If any is new, the next tick sends heartbeats.
-    pub fn add_balancers(&mut self, now: Time, balancers: impl IntoIterator<Item = Ipv4Addr>) {
-        if self.peers.add_all(now, balancers) {
-            self.control.next_heartbeat = Time::ZERO;
-        }
-    }
-
     /// Returns the state that is shown to operators.
     #[must_use]
     pub fn summary(&self, now: Time) -> BalancerSummary {
@@ -456,7 +423,7 @@
     }
 
     /// Returns whether the store has answered this balancer within [`READER_TIMEOUT`].
-    fn is_reader(&self, now: Time) -> bool {
+    pub(super) fn is_reader(&self, now: Time) -> bool {
         self.control
             .last_store_read
             .is_some_and(|last_read| now.since(last_read) <= READER_TIMEOUT)
--- a/crates/coordination/src/passthrough/balancer/mod.rs
+++ b/crates/coordination/src/passthrough/balancer/mod.rs
@@ -2,6 +2,7 @@
 //! messages to other processes.
 
 mod control;
+mod discovery;
 mod host_list;
 mod outages;
 mod startup_queue;
--- a/crates/daemon/src/passthrough/mod.rs
+++ b/crates/daemon/src/passthrough/mod.rs
@@ -10,6 +10,7 @@
 mod node;
 mod registry;
 mod server_check;
+mod snapshot_fetcher;
 mod sockets;
 mod store_reader;
 
--- a/crates/daemon/src/passthrough/node.rs
+++ b/crates/daemon/src/passthrough/node.rs
@@ -1,4 +1,4 @@
-//! Infrastructure of both roles: sockets, events, snapshots from peers, reloading of settings,
+//! Infrastructure of both roles: sockets, events, reloading of settings,
 //! signals and the event loop.
 
 use {
@@ -6,6 +6,7 @@
         Result, endpoints,
         registry::{self, RegistrationInputs},
         server_check::check_server,
+        snapshot_fetcher::SnapshotFetcher,
         sockets::PacketSocket,
         store_reader::{ReadMode, StoreReader},
     },
@@ -54,13 +55,6 @@
 /// from the store must be replaced within the 3 s in which a configuration change takes effect.
 const STORE_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// Timeout of fetching a snapshot from a peer.
-const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(800);
-
-/// Longest transfer of a snapshot whose bytes keep coming. A snapshot holds the catalogue, which may be
-/// as large as an object of the store.
-const MAX_SNAPSHOT_TRANSFER: Duration = Duration::from_secs(17);
-
 /// An event for the actor of a process.
 #[derive(Debug)]
 pub enum Event {
@@ -300,76 +294,6 @@
     }
 }
 
-/// Fetches snapshots over HTTP, from one peer at a time.
-#[derive(Debug)]
-pub struct SnapshotFetcher {
-    client: reqwest::Client,
-    port: u16,
-    events: mpsc::Sender<Event>,
-    is_busy: bool,
-}
-
-impl SnapshotFetcher {
-    fn new(port: u16, events: mpsc::Sender<Event>) -> Result<Self> {
-        let client = reqwest::Client::builder()
-            .no_proxy()
-            .pool_max_idle_per_host(0)
-            .connect_timeout(SNAPSHOT_TIMEOUT)
-            .read_timeout(SNAPSHOT_TIMEOUT)
-            .timeout(MAX_SNAPSHOT_TRANSFER)
-            .build()
-            .map_err(|error| io(format!("snapshot: cannot create the HTTP client: {error}")))?;
-        Ok(Self {
-            client,
-            port,
-            events,
-            is_busy: false,
-        })
-    }
-
-    /// Records that the current fetch has ended, so that another one may start.
-    pub const fn finish(&mut self) {
-        self.is_busy = false;
-    }
-
-    /// Starts to fetch from the peer that `select_peer` returns. While a fetch is in progress,
-    /// `select_peer` is not called.
-    pub fn start(&mut self, select_peer: impl FnOnce() -> Option<Ipv4Addr>) {
-        if self.is_busy {
-            return;
-        }
-        let Some(peer) = select_peer() else { return };
-        self.is_busy = true;
-        let request = self
-            .client
-            .get(format!("http://{peer}:{}/snapshot", self.port));
-        let events = self.events.clone();
-        tokio::spawn(async move {
-            let answer = async { request.send().await?.error_for_status()?.bytes().await };
-            let snapshot = match answer.await {
-                Ok(body) => serde_json::from_slice(&body)
-                    .map_err(|error| {
-                        warn!(
-                            event = "snapshot_malformed", peer:%;
-                            "snapshot of a peer ignored: {error}"
-                        );
-                    })
-                    .ok(),
-                Err(error) => {
-                    let error = error.without_url();
-                    warn!(
-                        event = "snapshot_failed", peer:%;
-                        "cannot fetch the snapshot of a peer: {error}"
-                    );
-                    None
-                }
-            };
-            // The receiver is dropped only when the process stops.
-            let _ = events.send(Event::SnapshotFetched(snapshot)).await;
-        });
-    }
-}
-
 /// Checks whether the backend server runs, one check at a time.
 #[derive(Debug)]
 pub struct ServerChecker {
