--- a/crates/coordination/src/passthrough/hosts.rs
+++ b/crates/coordination/src/passthrough/hosts.rs
@@ -319,16 +319,6 @@
         self.records.is_empty()
     }
 
-    /// Returns the run of the backend server beside an agent, or the default when the agent is
-    /// unknown.
-    #[must_use]
-    pub fn server_run(&self, agent: Ipv4Addr) -> RunId {
-        self.records
-            .get(&agent)
-            .map(|record| record.announcement.run)
-            .unwrap_or_default()
-    }
-
     /// Returns whether the time since the last contact does not exceed `suspect_after`, or the
     /// missed announcements that are allowed, if that is longer.
     fn is_responsive(&self, now: Time, record: &HostRecord) -> bool {
--- a/crates/daemon/src/passthrough/snapshot_fetcher.rs
+++ b/crates/daemon/src/passthrough/snapshot_fetcher.rs
@@ -8,7 +8,7 @@
     tokio::sync::mpsc,
 };
 
-/// Timeout of fetching a snapshot from a peer.
+/// Longest silence of a peer, before its response and between the parts of it.
 const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Longest transfer of a snapshot whose bytes keep coming. A snapshot holds the catalogue, which may be
