Log why a copy of the catalogue fails and for how long a process lacks an announced version

No decision changes.

- snapshot_failed names the causes, the bytes that arrived and the elapsed time.
- catalogue_behind and catalogue_caught_up, gauge cardamomloom_catalogue_behind_seconds.
- cardamomloom_snapshot_failures_total.

--- a/crates/coordination/src/passthrough/agent/control.rs
+++ b/crates/coordination/src/passthrough/agent/control.rs
@@ -11,7 +11,7 @@
         control::HostState,
         passthrough::{
             AgentDeparture, AgentHeartbeat, Announcement, BalancerHeartbeat, CatalogueDocument,
-            DomainStatus, HostListDigest, HostReport, PeerMessage, Snapshot,
+            CatalogueVersion, DomainStatus, HostListDigest, HostReport, PeerMessage, Snapshot,
         },
     },
     log::{info, warn},
@@ -153,6 +153,7 @@
             info!(event = "standing", standing:? = state, open_flows = self.flows.active(); "announced state of the host changed");
         }
         self.log_outcomes(now);
+        self.catalogue.log_behind(now);
         if now < self.control.next_announcement {
             return Vec::new();
         }
@@ -237,6 +238,19 @@
         self.control.newer_balancer.take()
     }
 
+    /// Returns the version of the catalogue, or zero when there is none.
+    #[must_use]
+    pub fn catalogue_version(&self) -> CatalogueVersion {
+        self.catalogue.version()
+    }
+
+    /// Returns for how long this process has known that a newer version of the catalogue exists, or
+    /// `None` while it knows of none.
+    #[must_use]
+    pub fn behind_for(&self, now: Time) -> Option<Span> {
+        self.catalogue.behind_for(now)
+    }
+
     /// Returns the time since the store last confirmed the catalogue, or `None` if it never has.
     #[must_use]
     pub fn confirmed_ago(&self, now: Time) -> Option<Span> {
--- a/crates/coordination/src/passthrough/agent/mod.rs
+++ b/crates/coordination/src/passthrough/agent/mod.rs
@@ -195,6 +195,7 @@
             started: now,
             catalogue: CatalogueView::new(CatalogueOptions {
                 max_flow_duration: options.max_flow_duration,
+                ..CatalogueOptions::default()
             }),
             peers,
             host: None,
--- a/crates/coordination/src/passthrough/balancer/control.rs
+++ b/crates/coordination/src/passthrough/balancer/control.rs
@@ -83,6 +83,7 @@
     pub fn on_tick(&mut self, now: Time) -> Vec<OutgoingMessage> {
         self.hosts.on_tick(now);
         self.log_host_changes(now);
+        self.catalogue.log_behind(now);
         if now < self.control.next_heartbeat {
             return Vec::new();
         }
@@ -202,6 +203,19 @@
         self.peers.snapshot_source(now, self.control.round)
     }
 
+    /// Returns the version of the catalogue, or zero when there is none.
+    #[must_use]
+    pub fn catalogue_version(&self) -> CatalogueVersion {
+        self.catalogue.version()
+    }
+
+    /// Returns for how long this process has known that a newer version of the catalogue exists, or
+    /// `None` while it knows of none.
+    #[must_use]
+    pub fn behind_for(&self, now: Time) -> Option<Span> {
+        self.catalogue.behind_for(now)
+    }
+
     /// Returns the time since the store last confirmed the catalogue, or `None` if it never has.
     #[must_use]
     pub fn confirmed_ago(&self, now: Time) -> Option<Span> {
--- a/crates/daemon/src/passthrough/agent.rs
+++ b/crates/daemon/src/passthrough/agent.rs
@@ -339,6 +339,7 @@
             answer_times.record(span.to_duration());
         }
         let (open_flows, _, _) = self.agent.counts();
+        NodeRuntime::publish_catalogue_lag(self.agent.behind_for(now));
         metrics::gauge!("cardamomloom_open_flows").set(open_flows as f64);
         metrics::gauge!("cardamomloom_held_openings").set(self.agent.queued_syns() as f64);
         let outcomes = self.agent.outcomes();
--- a/crates/daemon/src/passthrough/balancer.rs
+++ b/crates/daemon/src/passthrough/balancer.rs
@@ -306,6 +306,7 @@
         self.runtime
             .set_store_access(access, self.balancer.confirmed_ago(now));
         self.runtime.set_store_era(self.balancer.store_era());
+        NodeRuntime::publish_catalogue_lag(self.balancer.behind_for(now));
         self.runtime
             .snapshot_fetcher
             .start(|| self.balancer.snapshot_source(now));
--- a/crates/daemon/src/passthrough/node.rs
+++ b/crates/daemon/src/passthrough/node.rs
@@ -206,6 +206,12 @@
         });
     }
 
+    /// Publishes for how long this process has known that its catalogue is outdated.
+    pub fn publish_catalogue_lag(behind_for: Option<Span>) {
+        let lag = behind_for.unwrap_or(Span::ZERO).to_duration();
+        metrics::gauge!("cardamomloom_catalogue_behind_seconds").set(lag.as_secs_f64());
+    }
+
     /// Sets the era of the store, as far as it is known.
     pub fn set_store_era(&self, era: Option<StoreEra>) {
         self.store_era
--- a/crates/daemon/src/passthrough/snapshot_fetcher.rs
+++ b/crates/daemon/src/passthrough/snapshot_fetcher.rs
@@ -4,7 +4,11 @@
     super::{Result, node::Event},
     cardamomloom_core::error::io,
     log::warn,
-    std::{net::Ipv4Addr, time::Duration},
+    std::{
+        error::Error,
+        net::Ipv4Addr,
+        time::{Duration, Instant},
+    },
     tokio::sync::mpsc,
 };
 
@@ -65,9 +69,12 @@
             .get(format!("http://{peer}:{}/snapshot", self.port));
         let events = self.events.clone();
         tokio::spawn(async move {
-            let answer = async { request.send().await?.error_for_status()?.bytes().await };
-            let snapshot = match answer.await {
-                Ok(body) => serde_json::from_slice(&body)
+            let started = Instant::now();
+            let mut body = Vec::new();
+            let answer = receive(request, &mut body).await;
+            let elapsed_ms = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
+            let snapshot = match answer {
+                Ok(()) => serde_json::from_slice(&body)
                     .map_err(|error| {
                         warn!(
                             event = "snapshot_malformed", peer:%;
@@ -77,9 +84,11 @@
                     .ok(),
                 Err(error) => {
                     let error = error.without_url();
+                    metrics::counter!("cardamomloom_snapshot_failures_total").increment(1);
                     warn!(
-                        event = "snapshot_failed", peer:%;
-                        "cannot fetch the snapshot of a peer: {error}"
+                        event = "snapshot_failed", peer:%, received_bytes = body.len(), elapsed_ms,
+                        is_timeout = error.is_timeout();
+                        "cannot fetch the snapshot of a peer: {}", with_sources(&error)
                     );
                     None
                 }
@@ -89,3 +98,24 @@
         });
     }
 }
+
+/// Sends a request and appends its response to `body`, also the part that arrives before a failure.
+async fn receive(request: reqwest::RequestBuilder, body: &mut Vec<u8>) -> reqwest::Result<()> {
+    let mut response = request.send().await?.error_for_status()?;
+    while let Some(part) = response.chunk().await? {
+        body.extend_from_slice(&part);
+    }
+    Ok(())
+}
+
+/// Returns the texts of an error and of its sources. The outermost one is the same for a timeout, a reset
+/// and a connection that was closed early.
+fn with_sources(error: &reqwest::Error) -> String {
+    let mut text = error.to_string();
+    let mut source = error.source();
+    while let Some(error) = source {
+        text = format!("{text}: {error}");
+        source = error.source();
+    }
+    text
+}
