Simulated links carry bytes; a large catalogue reaches the fleet too late

The simulation moved a catalogue between processes in no time, so that no test could show how long a fleet needs for it. Copies and answers of the store take the time of their JSON on the links now, one after the other, where a rate is set; the scenarios are unchanged without one.

--- a/crates/standins/src/passthrough/simulation/events.rs
+++ b/crates/standins/src/passthrough/simulation/events.rs
@@ -33,6 +33,14 @@
                 self.on_packet_at_agent(agent, &header, &packet);
             }
             Event::ControlMessage(to, message) => self.on_control_message(to, message),
+            Event::CopyEnded {
+                to,
+                generation,
+                copy,
+            } => self.on_copy_ended(to, generation, copy),
+            Event::StoreAnswer(process, generation, document, access) => {
+                self.on_store_answer(process, generation, document, access);
+            }
             Event::ToCaller(packet) => self.on_packet_at_caller(&packet),
             Event::CallerTimer(flow) => self.on_caller_timer(flow),
             Event::ServerTimer(agent) => {
@@ -217,63 +225,30 @@
         self.schedule(TICK_INTERVAL, Event::Tick(address, generation));
         let now = self.now;
         let mut outgoing = Vec::new();
-        let mut snapshot_source = None;
+        let mut access = StoreAccess::None;
+        let mut reaches_store = self.is_store_up;
         let mut actions = Vec::new();
         if let Some(process) = self.balancers.get_mut(&address) {
             outgoing = process.core.on_tick(now);
-            let access = process.core.store_access(now);
-            if matches!(access, StoreAccess::Follow { .. }) {
-                self.store_follower_ticks += 1;
-            }
-            if access != StoreAccess::None && self.is_store_up && !process.is_cut_from_store {
-                outgoing.extend(process.core.on_catalogue(now, self.catalogue.clone()));
-                outgoing.extend(
-                    process
-                        .core
-                        .on_domain_status(now, self.domain_status.clone()),
-                );
-                if access != StoreAccess::Bootstrap {
-                    process.core.on_store_confirmed(now);
-                }
-            }
-            snapshot_source = process.core.snapshot_source(now);
+            access = process.core.store_access(now);
+            reaches_store &= !process.is_cut_from_store;
         } else if let Some(process) = self.agents.get_mut(&address) {
             outgoing = process.core.on_tick(now);
             process.core.deliver_queued_syns(now, &mut actions);
-            let access = process.core.store_access(now);
-            if access != StoreAccess::None {
-                self.store_follower_ticks += 1;
-            }
-            if access != StoreAccess::None && self.is_store_up {
-                process.core.on_catalogue(now, self.catalogue.clone());
-                process
-                    .core
-                    .on_domain_status(self.now, self.domain_status.clone());
-                process.core.on_store_confirmed(now);
-            }
-            snapshot_source = process.core.snapshot_source();
+            access = process.core.store_access(now);
+        }
+        let is_agent = self.agents.contains_key(&address);
+        if matches!(access, StoreAccess::Follow { .. }) || (is_agent && access != StoreAccess::None)
+        {
+            self.store_follower_ticks += 1;
         }
         self.execute(address, actions, &[]);
         self.send_control(address, outgoing);
-        self.apply_snapshot(address, snapshot_source);
-    }
-
-    /// Applies the snapshot of a balancer to a process. Real processes fetch it over HTTP, so it is
-    /// subject to neither loss nor delay here.
-    fn apply_snapshot(&mut self, address: Ipv4Addr, source: Option<Ipv4Addr>) {
-        let snapshot = source
-            .and_then(|source| self.balancers.get(&source))
-            .filter(|process| process.is_up)
-            .map(|process| process.core.snapshot(self.now));
-        let Some(snapshot) = snapshot else { return };
-        if let Some(process) = self.balancers.get_mut(&address) {
-            let outgoing = process.core.on_snapshot(self.now, snapshot);
-            self.send_control(address, outgoing);
-        } else if let Some(process) = self.agents.get_mut(&address) {
-            process.core.on_snapshot(self.now, snapshot);
+        if access != StoreAccess::None && reaches_store {
+            self.read_store(address, generation, access);
         }
+        self.start_copy(address, generation);
     }
-
     /// Delivers a report of the backend server beside an agent to the agent, and sends the control
     /// messages that result from it.
     pub(super) fn report(&mut self, agent: Ipv4Addr) {
@@ -435,7 +410,7 @@
         }
     }
 
-    fn send_control(&mut self, from: Ipv4Addr, outgoing: Vec<OutgoingMessage>) {
+    pub(super) fn send_control(&mut self, from: Ipv4Addr, outgoing: Vec<OutgoingMessage>) {
         for OutgoingMessage { to, message } in outgoing {
             let datagram = seal(KEY, &message).expect("the control message fits into a datagram");
             *self.control_bytes.entry(from).or_default() += datagram.len();
--- a/crates/standins/src/passthrough/simulation/faults.rs
+++ b/crates/standins/src/passthrough/simulation/faults.rs
@@ -54,6 +54,7 @@
     /// Kills an agent; its backend server keeps running.
     pub fn kill_agent(&mut self, agent: Ipv4Addr) {
         self.last_disruption = self.now;
+        self.links.clear(agent);
         if let Some(process) = self.agents.get_mut(&agent) {
             process.is_up = false;
         }
@@ -83,6 +84,7 @@
             core,
             generation,
             is_up: true,
+            is_copying: false,
         };
         self.agents.insert(agent, process);
         self.schedule(Span::ZERO, Event::Tick(agent, generation));
@@ -93,6 +95,7 @@
     /// Kills a balancer; routers send to it until their next probe.
     pub fn kill_balancer(&mut self, balancer: Ipv4Addr) {
         self.last_disruption = self.now;
+        self.links.clear(balancer);
         if let Some(process) = self.balancers.get_mut(&balancer) {
             process.is_up = false;
         }
@@ -108,6 +111,7 @@
             core: Balancer::new(BalancerOptions::default(), balancer, &seeds, self.now),
             generation,
             is_up: true,
+            is_copying: false,
             is_in_rotation: false,
             is_cut_from_store: false,
             loses_inbound_control: false,
--- a/crates/standins/src/passthrough/simulation/mod.rs
+++ b/crates/standins/src/passthrough/simulation/mod.rs
@@ -1,9 +1,11 @@
 //! Discrete-event simulation of balancers, agents, backend servers and callers, with an oracle that
 //! checks what callers and backend servers observe.
 
+mod copies;
 mod events;
 mod faults;
 mod layout;
+mod links;
 
 use {
     super::{
@@ -11,15 +13,17 @@
         ServerEvent, TestPacketFormat, Violation, domain_name, route, service_name,
     },
     cardamomloom_coordination::passthrough::{
+        StoreAccess,
         agent::{Agent, AgentOptions},
         balancer::Balancer,
     },
     cardamomloom_core::{DomainName, Span, Time},
     cardamomloom_protocol::passthrough::{
-        CatalogueDocument, DomainStatus, FlowId, HostReportState, PeerMessage, RelayHeader,
-        RouteTarget, StoreEra, StoreRevision,
+        CatalogueDocument, CatalogueVersion, DomainStatus, FlowId, HostReportState, PeerMessage,
+        RelayHeader, RouteTarget, Snapshot, StoreEra, StoreRevision,
     },
     layout::{agent_address, balancer_address, initial_catalogue, server_address, service_route},
+    links::Links,
     rand::{RngExt, SeedableRng},
     rand_chacha::ChaCha8Rng,
     std::{
@@ -50,6 +54,9 @@
     pub packet_loss: f64,
     /// Minimum one-way delay of a packet or control message; the maximum is 1.5 times as long.
     pub delay: Span,
+    /// Bytes that the link of each process carries a second, for copies of the state of a process and
+    /// for answers of the store; 0 for no limit.
+    pub link_bytes_per_s: u64,
     /// Seed of all random choices.
     pub seed: u64,
     /// Options of every agent.
@@ -68,6 +75,7 @@
             cold_for: Span::from_secs(2),
             packet_loss: 0.0,
             delay: Span::from_millis(2),
+            link_bytes_per_s: 0,
             seed: 1,
             agent: AgentOptions::default(),
         }
@@ -94,6 +102,14 @@
     ToBalancer(Ipv4Addr, Vec<u8>),
     ToAgent(Ipv4Addr, RelayHeader, Vec<u8>),
     ControlMessage(Ipv4Addr, PeerMessage),
+    /// The copy of the state of a process arrived, or its transfer failed.
+    CopyEnded {
+        to: Ipv4Addr,
+        generation: u64,
+        copy: Option<Box<Snapshot>>,
+    },
+    /// The catalogue arrived from the store.
+    StoreAnswer(Ipv4Addr, u64, CatalogueDocument, StoreAccess),
     ToCaller(Vec<u8>),
     CallerTimer(FlowId),
     ServerTimer(Ipv4Addr),
@@ -108,6 +124,8 @@
     core: Balancer,
     generation: u64,
     is_up: bool,
+    /// Whether a copy of the state of another process is on its way.
+    is_copying: bool,
     is_in_rotation: bool,
     is_cut_from_store: bool,
     /// Whether all control messages to it are lost.
@@ -120,6 +138,8 @@
     core: Agent,
     generation: u64,
     is_up: bool,
+    /// Whether a copy of the state of another process is on its way.
+    is_copying: bool,
 }
 
 struct Server {
@@ -150,6 +170,7 @@
     catalogue: CatalogueDocument,
     domain_status: DomainStatus,
     is_store_up: bool,
+    links: Links,
     next_caller: u32,
     next_generation: u64,
     /// Latest time at which a process was killed or started, or the loss of control messages to a
@@ -198,6 +219,7 @@
                 domains_out: BTreeSet::new(),
             },
             is_store_up: true,
+            links: Links::new(options.link_bytes_per_s),
             next_caller: 0,
             next_generation: 0,
             last_disruption: Time::ZERO,
@@ -293,6 +315,27 @@
         process.map_or(0, |process| process.core.counts().2)
     }
 
+    /// Returns the versions of the catalogue that running processes have, with their numbers.
+    #[must_use]
+    pub fn catalogue_versions(&self) -> BTreeMap<CatalogueVersion, usize> {
+        let balancers = self.balancers.values().filter(|process| process.is_up);
+        let agents = self.agents.values().filter(|process| process.is_up);
+        let versions = balancers
+            .map(|process| process.core.catalogue_version())
+            .chain(agents.map(|process| process.core.catalogue_version()));
+        let mut counts = BTreeMap::new();
+        for version in versions {
+            *counts.entry(version).or_default() += 1;
+        }
+        counts
+    }
+
+    /// Returns the version of the catalogue that the store has.
+    #[must_use]
+    pub const fn stored_version(&self) -> CatalogueVersion {
+        self.catalogue.version
+    }
+
     /// Returns the number of open flows of the backend server beside an agent.
     #[must_use]
     pub fn open_flows(&self, agent: Ipv4Addr) -> usize {
@@ -349,6 +392,23 @@
         self.oracle.on_route(self.now, address, present_route);
     }
 
+    /// Adds routes that no caller uses, a part of them to each service. No effect while the store is
+    /// down.
+    pub fn add_routes(&mut self, count: u16) {
+        if !self.is_store_up {
+            return;
+        }
+        self.catalogue.version.0 += 1;
+        let first = self.catalogue.routes.len();
+        for (number, index) in (first..).zip(0..count) {
+            let [a, b] = index.to_be_bytes();
+            let address = SocketAddrV4::new(Ipv4Addr::new(198, 19, a, b), 443);
+            let service = u8::try_from(number % usize::from(self.options.services));
+            let entry = route(address, service.unwrap_or_default());
+            self.catalogue.routes.push(entry);
+        }
+    }
+
     /// Sets the targets of the route of a service: pairs of a service and its weight. No effect while
     /// the store is down.
     pub fn set_route_targets(&mut self, service: u8, targets: &[(u8, u32)]) {
