Hand the catalogue on from every process that has it, and send only what changed

Cause: every process copied the whole catalogue, as JSON, from the process that announced it first, which is one of two readers of the store. The time until a change is in force grew with routes times processes over one link. It belongs to the class of costs that grow with object times fleet over one link. A process fetched from one peer at a time, and forgot a transfer that failed until the next heartbeat of the same peer.

Change: CopyServer and CopyRequests (coordination::passthrough::spread). A copy contains the changes since the receiver's version, with a digest of the result, or the whole catalogue in postcard and LZ4 if the version is unknown. Each process, agents too, hands it on, sends copies at 800 KB/s at most, refuses further ones at once and names processes that it has sent them to. A second process is asked after 500 ms, a failed one not for 1 s. A process that lacks an announced version for 1.5 s or more reads the store itself, one after the other.

--- a/crates/coordination/src/passthrough/agent/control.rs
+++ b/crates/coordination/src/passthrough/agent/control.rs
@@ -41,10 +41,12 @@
     pub hosts_digest: HostListDigest,
     /// Addresses that the host holds flows to and that the catalogue routes to other services.
     pub rerouted_addresses: Vec<SocketAddrV4>,
+    /// Whether the agent has received the snapshot of a balancer.
+    has_snapshot: bool,
+    /// An initialized balancer to request a snapshot from.
+    snapshot_source: Option<Ipv4Addr>,
     registry_retry: RegistryRetry,
     stopping_since: Option<Time>,
-    /// A balancer that has a newer catalogue.
-    newer_balancer: Option<Ipv4Addr>,
     last_state: Option<HostState>,
     /// Whether the log last reported that the backend server fails requests.
     is_failing: bool,
@@ -221,7 +223,8 @@
 
     /// Applies the snapshot of a balancer.
     pub fn on_snapshot(&mut self, now: Time, snapshot: Snapshot) {
-        self.control.newer_balancer = None;
+        self.control.has_snapshot = true;
+        self.control.snapshot_source = None;
         if let Some(document) = snapshot.catalogue {
             self.on_catalogue(now, document);
         }
@@ -231,11 +234,11 @@
         self.peers.add_all(now, snapshot.balancers);
     }
 
-    /// Returns the balancer to request a snapshot from, if one has a newer catalogue than this
-    /// agent.
+    /// Returns the balancer to request a snapshot from, if the agent has not received one since its
+    /// start. It learns the other balancers from it.
     #[must_use]
     pub const fn snapshot_source(&mut self) -> Option<Ipv4Addr> {
-        self.control.newer_balancer.take()
+        self.control.snapshot_source.take()
     }
 
     /// Returns the version of the catalogue, or zero when there is none.
@@ -272,12 +275,17 @@
             Span::ZERO
         };
         let takeover_delay = stagger(self.identity.address, spread);
-        if unconfirmed_span <= Span(options.stale_after.0 + takeover_delay.0) {
-            return StoreAccess::None;
-        }
-        StoreAccess::Follow {
-            max_backoff: options.store_access.takeover_backoff(balancers),
-        }
+        let access = if unconfirmed_span <= Span(options.stale_after.0 + takeover_delay.0) {
+            StoreAccess::None
+        } else {
+            StoreAccess::Follow {
+                max_backoff: options.store_access.takeover_backoff(balancers),
+            }
+        };
+        let behind_for = self.catalogue.behind_for(now);
+        options
+            .store_access
+            .catch_up(access, self.identity.address, balancers, behind_for)
     }
 
     /// Starts to stop: the host is announced as draining.
@@ -362,8 +370,9 @@
     ) -> Vec<OutgoingMessage> {
         let added = self.peers.on_heartbeat(now, &heartbeat);
         self.control.last_balancer_contact = Some(now);
-        if self.catalogue.compare_with_balancer(now, &heartbeat) {
-            self.control.newer_balancer = Some(heartbeat.balancer);
+        self.catalogue.compare_with_balancer(now, &heartbeat);
+        if heartbeat.is_informed && !self.control.has_snapshot {
+            self.control.snapshot_source = Some(heartbeat.balancer);
         }
         if let Some(status) = heartbeat.domain_status {
             self.on_domain_status(now, status);
--- a/crates/coordination/src/passthrough/agent/mod.rs
+++ b/crates/coordination/src/passthrough/agent/mod.rs
@@ -3,6 +3,7 @@
 
 mod admission;
 mod control;
+mod copies;
 mod flow_upkeep;
 mod flows;
 mod host;
--- a/crates/coordination/src/passthrough/balancer/control.rs
+++ b/crates/coordination/src/passthrough/balancer/control.rs
@@ -54,6 +54,17 @@
     pub hosts: Vec<HostSummary>,
 }
 
+/// Part of the state of a balancer that a process which starts requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SnapshotContent {
+    /// Everything. Processes of releases without copies of the catalogue request this.
+    Whole,
+    /// Everything but the catalogue, for a balancer.
+    WithoutCatalogue,
+    /// The known balancers and the status of the failure domains, for an agent.
+    Membership,
+}
+
 /// State of a host as shown to operators.
 #[derive(Clone, Debug)]
 pub struct HostSummary {
@@ -73,8 +84,6 @@
     /// Time at which the store last answered this process.
     last_store_read: Option<Time>,
     is_stopping: bool,
-    /// A balancer that has a newer catalogue.
-    newer_balancer: Option<Ipv4Addr>,
 }
 
 impl Balancer {
@@ -157,7 +166,6 @@
 
     /// Applies the snapshot of a peer. Returns the messages that announce changes.
     pub fn on_snapshot(&mut self, now: Time, snapshot: Snapshot) -> Vec<OutgoingMessage> {
-        self.control.newer_balancer = None;
         let mut outgoing = Vec::new();
         if let Some(document) = snapshot.catalogue {
             outgoing.extend(self.on_catalogue(now, document));
@@ -172,35 +180,48 @@
         outgoing
     }
 
-    /// Returns a copy of the state for a process that starts or lags behind. It has only the hosts
-    /// whose agents are responsive, because the receiver cannot distinguish the others from these.
+    /// Returns a copy of the whole state, for a process that starts.
     #[must_use]
     pub fn snapshot(&self, now: Time) -> Snapshot {
+        self.snapshot_of(now, SnapshotContent::Whole)
+    }
+
+    /// Returns a copy of a part of the state, for a process that starts. It has only the hosts whose
+    /// agents are responsive, because the receiver cannot distinguish the others from these.
+    #[must_use]
+    pub fn snapshot_of(&self, now: Time, content: SnapshotContent) -> Snapshot {
+        let hosts = match content {
+            SnapshotContent::Membership => Vec::new(),
+            SnapshotContent::Whole | SnapshotContent::WithoutCatalogue => {
+                let responsive = self.hosts.responsive(now);
+                responsive
+                    .map(|record| record.announcement.clone())
+                    .collect()
+            }
+        };
+        let document = self.catalogue.document();
         Snapshot {
-            catalogue: self.catalogue.document().cloned(),
+            catalogue: document
+                .filter(|_| content == SnapshotContent::Whole)
+                .cloned(),
             domain_status: self.catalogue.domain_status().cloned(),
             confirmed_ago_ms: self.confirmed_ago_ms(now),
             balancers: self.peers.contacted().chain([self.own_address]).collect(),
-            hosts: self
-                .hosts
-                .responsive(now)
-                .map(|record| record.announcement.clone())
-                .collect(),
+            hosts,
         }
     }
 
-    /// Returns the balancer to request a snapshot from: one with a newer catalogue, or any that can
-    /// answer while this balancer lacks the catalogue or the status of the failure domains.
+    /// Returns the balancer to request a snapshot from while this balancer lacks the catalogue or the
+    /// status of the failure domains: any that can answer. Balancers that start together ask different
+    /// ones.
     #[must_use]
     pub fn snapshot_source(&mut self, now: Time) -> Option<Ipv4Addr> {
-        if self.control.newer_balancer.is_some() {
-            return self.control.newer_balancer.take();
-        }
         if self.catalogue.is_initialized() {
             return None;
         }
         self.control.round += 1;
-        self.peers.snapshot_source(now, self.control.round)
+        let turn = self.control.round + usize::from(self.own_address.octets()[3]);
+        self.peers.snapshot_source(now, turn)
     }
 
     /// Returns the version of the catalogue, or zero when there is none.
@@ -237,7 +258,10 @@
             preceding_readers: self.peers.preceding_readers(now, self.own_address),
             is_initialized: self.catalogue.is_initialized(),
         };
-        self.reader_election.decide(now, census)
+        let access = self.reader_election.decide(now, census);
+        let behind_for = self.catalogue.behind_for(now);
+        let options = self.options.store_access;
+        options.catch_up(access, self.own_address, census.balancers, behind_for)
     }
 
     /// Returns whether the routers may send packets to this balancer.
@@ -294,6 +318,8 @@
     /// older catalogue.
     fn on_announcement(&mut self, now: Time, announcement: Announcement) -> Vec<OutgoingMessage> {
         let answer = self.answer(now, &announcement, announcement.asks_hosts);
+        self.catalogue
+            .observe_version(now, announcement.agent, announcement.catalogue);
         let (agent, run, state) = (announcement.agent, announcement.run, announcement.state);
         if self.hosts.on_announcement(now, announcement) && self.control.host_changes.record() {
             info!(event = "host_changed", agent:%, life:% = run, standing:? = state; "host is new, or announced a new run, state or service");
@@ -370,9 +396,7 @@
             Some(status) => self.on_domain_status(now, status.clone()),
             None => Vec::new(),
         };
-        if self.catalogue.compare_with_balancer(now, heartbeat) {
-            self.control.newer_balancer = Some(heartbeat.balancer);
-        }
+        self.catalogue.compare_with_balancer(now, heartbeat);
         if !added.is_empty() {
             let mut introduction = self.short_heartbeat(now);
             introduction.balancers = self.listed_balancers();
--- a/crates/coordination/src/passthrough/balancer/mod.rs
+++ b/crates/coordination/src/passthrough/balancer/mod.rs
@@ -2,13 +2,14 @@
 //! messages to other processes.
 
 mod control;
+mod copies;
 mod discovery;
 mod host_list;
 mod outages;
 mod startup_queue;
 
 pub use {
-    control::{BalancerSummary, HostSummary},
+    control::{BalancerSummary, HostSummary, SnapshotContent},
     outages::ServiceOutages,
     startup_queue::StartupQueue,
 };
--- a/crates/coordination/src/passthrough/catalogue.rs
+++ b/crates/coordination/src/passthrough/catalogue/mod.rs
@@ -1,13 +1,16 @@
 //! Local replica of the catalogue, which never reverts to an older version.
 
+mod copies;
+mod lag;
+
 use {
-    super::flow_hash,
+    super::{CopyRequests, CopyServer, flow_hash},
     cardamomloom_core::{DomainName, ServiceName, Span, Time},
     cardamomloom_protocol::passthrough::{
         BalancerHeartbeat, CatalogueDocument, CatalogueVersion, DomainStatus, FlowId, RouteEntry,
         RouteTarget, ServiceEntry,
     },
-    log::{info, warn},
+    log::info,
     std::{
         collections::{BTreeMap, BTreeSet, HashMap},
         net::SocketAddrV4,
@@ -17,9 +20,6 @@
 /// Time after a restore of the store in which operators write again what it has lost.
 const RESTORE_SETTLING: Span = Span::from_secs(2);
 
-/// Maximum number of announced versions that a replica remembers until it has a later one.
-const MAX_ANNOUNCED_VERSIONS: usize = 32;
-
 /// Limits of a local replica of the catalogue.
 #[derive(Clone, Copy, Debug)]
 pub struct CatalogueOptions {
@@ -61,6 +61,8 @@
     announced: BTreeMap<CatalogueVersion, Time>,
     /// Whether the log reports this replica as behind.
     is_reported_behind: bool,
+    copy_server: CopyServer,
+    copy_requests: CopyRequests,
 }
 
 /// Failure domains that were out of service before a restore of the store and that the store has not
@@ -106,6 +108,8 @@
             }
             return false;
         }
+        self.copy_server
+            .on_change(self.document.as_ref(), &document);
         let previous = self.document.replace(document);
         let announced_ago = self
             .announced
@@ -129,55 +133,6 @@
         true
     }
 
-    /// Records that another process has a version of the catalogue. Returns whether it is newer than
-    /// this replica.
-    pub fn observe_version(&mut self, now: Time, version: CatalogueVersion) -> bool {
-        if version <= self.version() {
-            return false;
-        }
-        self.announced.entry(version).or_insert(now);
-        if self.announced.len() > MAX_ANNOUNCED_VERSIONS {
-            // Keeps the oldest version, since which this replica is behind, and the newest ones.
-            let second = self.announced.keys().nth(1).copied();
-            second.and_then(|version| self.announced.remove(&version));
-        }
-        true
-    }
-
-    /// Returns the newest version that another process has announced, if it is newer than this
-    /// replica.
-    #[must_use]
-    pub fn newest_announced(&self) -> Option<CatalogueVersion> {
-        self.announced.keys().next_back().copied()
-    }
-
-    /// Returns for how long this process has known that a newer version of the catalogue exists, or
-    /// `None` while it knows of none.
-    #[must_use]
-    pub fn behind_for(&self, now: Time) -> Option<Span> {
-        let announced_at = self.announced.values().min()?;
-        Some(now.since(*announced_at))
-    }
-
-    /// Logs when this process has lacked an announced version for a while, and when it has caught up.
-    pub fn log_behind(&mut self, now: Time) {
-        let behind_for = self.behind_for(now);
-        let is_behind = behind_for.is_some_and(|span| span >= self.options.report_behind_after);
-        if std::mem::replace(&mut self.is_reported_behind, is_behind) == is_behind {
-            return;
-        }
-        let (version, announced_version) = (self.version(), self.newest_announced());
-        if is_behind {
-            warn!(
-                event = "catalogue_behind", version:%, behind_ms = behind_for.map(Span::as_millis),
-                announced_version = announced_version.map(|version| version.0);
-                "another process has announced a newer catalogue, which has not arrived here"
-            );
-        } else {
-            info!(event = "catalogue_caught_up", version:%; "catalogue is no longer known to be outdated");
-        }
-    }
-
     /// Records the targets of the routes before a change that the present routes do not have, and
     /// forgets those whose flows have ended.
     fn update_former_targets(&mut self, now: Time, previous_routes: Option<Vec<RouteEntry>>) {
@@ -270,7 +225,7 @@
         {
             self.confirm(now - Span::from_millis(u64::from(ago_ms)));
         }
-        self.observe_version(now, heartbeat.catalogue)
+        self.observe_version(now, heartbeat.balancer, heartbeat.catalogue)
     }
 
     /// Records that the store confirmed this replica at `confirmed_at`; an earlier time than the
--- a/crates/coordination/src/passthrough/mod.rs
+++ b/crates/coordination/src/passthrough/mod.rs
@@ -12,6 +12,7 @@
 mod hosts;
 mod peers;
 mod rendezvous;
+mod spread;
 mod store_access;
 
 use {
@@ -24,6 +25,10 @@
     hosts::{HostDirectory, HostDirectoryOptions, HostRecord},
     peers::{PeerDirectory, PeerDirectoryOptions},
     rendezvous::{flow_hash, rendezvous_score},
+    spread::{
+        CopyOutcome, CopyRequest, CopyRequestOptions, CopyRequests, CopyResponse, CopyServer,
+        CopyServerOptions,
+    },
     store_access::{ReaderCensus, ReaderElection, StoreAccess, StoreAccessOptions, stagger},
 };
 
--- a/crates/coordination/src/passthrough/store_access.rs
+++ b/crates/coordination/src/passthrough/store_access.rs
@@ -53,6 +53,9 @@
     pub reader_backoff: Span,
     /// Mean time between two failing calls of all balancers that are not among the first readers.
     pub takeover_call_spacing: Span,
+    /// Time after the announcement of a newer catalogue after which a process that has not got it from
+    /// another one reads the store itself.
+    pub catch_up_after: Span,
 }
 
 impl Default for StoreAccessOptions {
@@ -63,6 +66,7 @@
             takeover_spacing: Span::from_millis(50),
             reader_backoff: Span::from_millis(1_200),
             takeover_call_spacing: Span::from_millis(50),
+            catch_up_after: Span::from_millis(1_500),
         }
     }
 }
@@ -74,6 +78,28 @@
     pub fn takeover_backoff(&self, balancers: usize) -> Span {
         Span(self.takeover_call_spacing.0 * balancers as u64).max(self.reader_backoff)
     }
+
+    /// Returns the access of the process at `own_address`, which has `access` otherwise and has lacked an
+    /// announced catalogue for `behind_for`. Processes of a fleet that is behind start to read the store
+    /// one after the other.
+    #[must_use]
+    pub fn catch_up(
+        &self,
+        access: StoreAccess,
+        own_address: Ipv4Addr,
+        balancers: usize,
+        behind_for: Option<Span>,
+    ) -> StoreAccess {
+        let spread = Span(self.takeover_spacing.0 * balancers as u64);
+        let delay = Span(self.catch_up_after.0 + stagger(own_address, spread).0);
+        let is_due = behind_for.is_some_and(|behind_for| behind_for >= delay);
+        if !is_due || matches!(access, StoreAccess::Follow { .. }) {
+            return access;
+        }
+        StoreAccess::Follow {
+            max_backoff: self.takeover_backoff(balancers),
+        }
+    }
 }
 
 /// What a balancer knows about the other balancers when it chooses its access to the store.
--- a/crates/daemon/src/passthrough/agent.rs
+++ b/crates/daemon/src/passthrough/agent.rs
@@ -11,10 +11,11 @@
         sockets::{Outbox, PacketSocket},
     },
     crate::settings::{PassThroughAgentSettings, PassThroughSettings},
-    cardamomloom_coordination::passthrough::agent::{
-        Action, Agent, AgentIdentity, AgentOptions, DropReason,
+    cardamomloom_coordination::passthrough::{
+        agent::{Action, Agent, AgentIdentity, AgentOptions, DropReason},
+        balancer::SnapshotContent,
     },
-    cardamomloom_core::Time,
+    cardamomloom_core::{Span, Time},
     cardamomloom_platform::packet::PlatformPackets,
     cardamomloom_protocol::{
         forward::DatagramKey,
@@ -155,19 +156,34 @@
             }
             Event::StoreConfirmed => self.agent.on_store_confirmed(now),
             Event::SnapshotFetched(snapshot) => {
-                self.runtime.snapshot_fetcher.finish();
+                self.runtime.peers.finish_snapshot();
                 if let Some(snapshot) = snapshot {
                     self.agent.on_snapshot(now, *snapshot);
                     self.update_runtime(now);
                 }
             }
             // Agents serve no snapshots.
-            Event::SnapshotRequest(reply) => drop(reply),
+            Event::SnapshotRequest { reply, .. } => drop(reply),
+            Event::CopyFetched(peer, outcome) => {
+                self.agent.on_copy(now, peer, &outcome);
+                self.update_runtime(now);
+            }
+            Event::CopyRequest {
+                receiver,
+                base,
+                reply,
+            } => {
+                let response = self.agent.copy_for(now, receiver, base);
+                NodeRuntime::reply_copy(receiver, response, reply);
+            }
             Event::StatusRequest(reply) => {
                 let (flows, hosts, balancers) = self.agent.counts();
                 // Sending fails when the HTTP client has disconnected.
                 let _ = reply.send(json!({
                     "role": "agent", "flows": flows, "hosts": hosts, "balancers": balancers,
+                    "catalogue": self.agent.catalogue_version().0,
+                    "newest_announced_catalogue": self.agent.newest_announced().map(|version| version.0),
+                    "behind_ms": self.agent.behind_for(now).map(Span::as_millis),
                 }));
             }
             Event::Report(report, reply) => {
@@ -326,8 +342,11 @@
         self.runtime
             .set_store_access(self.agent.store_access(now), self.agent.confirmed_ago(now));
         self.runtime
-            .snapshot_fetcher
-            .start(|| self.agent.snapshot_source());
+            .peers
+            .fetch_snapshot(SnapshotContent::Membership, || self.agent.snapshot_source());
+        if let Some(request) = self.agent.next_copy_request(now) {
+            self.runtime.peers.request_copy(request);
+        }
         if self.agent.should_check_server(now) {
             self.runtime.server_checker.start(self.io.server);
         }
--- a/crates/daemon/src/passthrough/balancer.rs
+++ b/crates/daemon/src/passthrough/balancer.rs
@@ -12,7 +12,10 @@
     crate::settings::PassThroughSettings,
     cardamomloom_coordination::passthrough::{
         OutgoingMessage,
-        balancer::{Balancer, BalancerOptions, DropReason, ForwardingDecision, StartupQueue},
+        balancer::{
+            Balancer, BalancerOptions, DropReason, ForwardingDecision, SnapshotContent,
+            StartupQueue,
+        },
     },
     cardamomloom_core::{Span, Time},
     cardamomloom_platform::packet::PlatformPackets,
@@ -130,16 +133,29 @@
             }
             Event::StoreConfirmed => self.balancer.on_store_confirmed(now),
             Event::SnapshotFetched(snapshot) => {
-                self.runtime.snapshot_fetcher.finish();
+                self.runtime.peers.finish_snapshot();
                 if let Some(snapshot) = snapshot {
                     let outgoing = self.balancer.on_snapshot(now, *snapshot);
                     self.send(outgoing);
                 }
                 self.update_runtime(now);
             }
-            Event::SnapshotRequest(reply) => {
+            Event::SnapshotRequest { content, reply } => {
                 // Sending fails when the HTTP client has disconnected.
-                let _ = reply.send(self.balancer.snapshot(now));
+                let _ = reply.send(self.balancer.snapshot_of(now, content));
+            }
+            Event::CopyFetched(peer, outcome) => {
+                let outgoing = self.balancer.on_copy(now, peer, &outcome);
+                self.send(outgoing);
+                self.update_runtime(now);
+            }
+            Event::CopyRequest {
+                receiver,
+                base,
+                reply,
+            } => {
+                let response = self.balancer.copy_for(now, receiver, base);
+                NodeRuntime::reply_copy(receiver, response, reply);
             }
             Event::StatusRequest(reply) => {
                 let _ = reply.send(self.status(now));
@@ -308,8 +324,13 @@
         self.runtime.set_store_era(self.balancer.store_era());
         NodeRuntime::publish_catalogue_lag(self.balancer.behind_for(now));
         self.runtime
-            .snapshot_fetcher
-            .start(|| self.balancer.snapshot_source(now));
+            .peers
+            .fetch_snapshot(SnapshotContent::WithoutCatalogue, || {
+                self.balancer.snapshot_source(now)
+            });
+        if let Some(request) = self.balancer.next_copy_request(now) {
+            self.runtime.peers.request_copy(request);
+        }
     }
 
     /// Returns the document for `/status`. Its fields are named as in the status of a balancer
@@ -337,6 +358,8 @@
             "standing": if summary.is_confirmed { "serving" } else { "isolated" },
             "reads_store": summary.is_reader,
             "confirmed_ago_ms": self.confirmed_ago_ms(now),
+            "newest_announced_catalogue": self.balancer.newest_announced().map(|version| version.0),
+            "behind_ms": self.balancer.behind_for(now).map(Span::as_millis),
             "objects": [
                 {"key": "catalogue", "version": summary.catalogue_version.0},
                 {
--- a/crates/daemon/src/passthrough/endpoints.rs
+++ b/crates/daemon/src/passthrough/endpoints.rs
@@ -4,14 +4,23 @@
 use {
     super::{Result, node::Event},
     crate::settings::{PassThroughRole, PassThroughSettings},
-    axum::{Json, Router, extract::State, http::StatusCode, routing::get},
+    axum::{
+        Json, Router,
+        body::Bytes,
+        extract::{Query, State},
+        http::StatusCode,
+        response::{IntoResponse, Response},
+        routing::get,
+    },
+    cardamomloom_coordination::passthrough::{CopyResponse, balancer::SnapshotContent},
     cardamomloom_core::error::{Error, io},
     cardamomloom_platform::reports::{Acknowledgment, ReportSink, readiness_router, report_router},
-    cardamomloom_protocol::passthrough::{HostReport, Snapshot},
+    cardamomloom_protocol::passthrough::{CatalogueVersion, HostReport, Snapshot},
     log::warn,
     metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle},
+    serde::Deserialize,
     std::{
-        net::SocketAddr,
+        net::{Ipv4Addr, SocketAddr},
         sync::{Arc, atomic::AtomicBool},
     },
     tokio::{
@@ -46,6 +55,7 @@
         .map_err(|error| io(format!("metrics: cannot install the recorder: {error}")))?;
     let router = Router::new()
         .route("/snapshot", get(snapshot))
+        .route("/catalogue", get(catalogue))
         .route("/status", get(status))
         .with_state(events)
         .route("/metrics", get(render_metrics))
@@ -99,16 +109,59 @@
     }
 }
 
+/// Query of a request for a snapshot.
+#[derive(Debug, Deserialize)]
+struct SnapshotQuery {
+    /// `without_catalogue` or `membership`. Processes of earlier releases request the whole state, without
+    /// this field.
+    content: Option<Box<str>>,
+}
+
 async fn snapshot(
     State(events): State<mpsc::Sender<Event>>,
+    Query(query): Query<SnapshotQuery>,
 ) -> std::result::Result<Json<Snapshot>, StatusCode> {
-    request(&events, Event::SnapshotRequest).await
+    let content = match query.content.as_deref() {
+        None => SnapshotContent::Whole,
+        Some("without_catalogue") => SnapshotContent::WithoutCatalogue,
+        Some("membership") => SnapshotContent::Membership,
+        Some(_) => return Err(StatusCode::BAD_REQUEST),
+    };
+    let new_event = |reply| Event::SnapshotRequest { content, reply };
+    request(&events, new_event).await.map(Json)
+}
+
+/// Query of a request for a copy of the catalogue.
+#[derive(Debug, Deserialize)]
+struct CopyQuery {
+    /// Version that the receiver has, or zero.
+    base: CatalogueVersion,
+    /// Address of the receiver.
+    receiver: Ipv4Addr,
+}
+
+/// Answers with an encoded copy, or with 503 and a refusal as JSON.
+async fn catalogue(
+    State(events): State<mpsc::Sender<Event>>,
+    Query(CopyQuery { base, receiver }): Query<CopyQuery>,
+) -> std::result::Result<Response, StatusCode> {
+    let new_event = |reply| Event::CopyRequest {
+        receiver,
+        base,
+        reply,
+    };
+    Ok(match request(&events, new_event).await? {
+        CopyResponse::Copy(copy) => Bytes::from_owner(copy).into_response(),
+        CopyResponse::Refused(refusal) => {
+            (StatusCode::SERVICE_UNAVAILABLE, Json(refusal)).into_response()
+        }
+    })
 }
 
 async fn status(
     State(events): State<mpsc::Sender<Event>>,
 ) -> std::result::Result<Json<serde_json::Value>, StatusCode> {
-    request(&events, Event::StatusRequest).await
+    request(&events, Event::StatusRequest).await.map(Json)
 }
 
 async fn render_metrics(State(metrics): State<PrometheusHandle>) -> String {
@@ -119,14 +172,11 @@
 async fn request<T>(
     events: &mpsc::Sender<Event>,
     new_event: impl FnOnce(oneshot::Sender<T>) -> Event,
-) -> std::result::Result<Json<T>, StatusCode> {
+) -> std::result::Result<T, StatusCode> {
     let (reply, answer) = oneshot::channel();
     events
         .send(new_event(reply))
         .await
         .map_err(|_| StatusCode::SERVICE_UNAVAILABLE)?;
-    answer
-        .await
-        .map(Json)
-        .map_err(|_| StatusCode::SERVICE_UNAVAILABLE)
+    answer.await.map_err(|_| StatusCode::SERVICE_UNAVAILABLE)
 }
--- a/crates/daemon/src/passthrough/mod.rs
+++ b/crates/daemon/src/passthrough/mod.rs
@@ -8,9 +8,9 @@
 mod endpoints;
 mod log_limit;
 mod node;
+mod peer_client;
 mod registry;
 mod server_check;
-mod snapshot_fetcher;
 mod sockets;
 mod store_reader;
 
--- a/crates/daemon/src/passthrough/node.rs
+++ b/crates/daemon/src/passthrough/node.rs
@@ -4,14 +4,16 @@
 use {
     super::{
         Result, endpoints,
+        peer_client::PeerClient,
         registry::{self, RegistrationInputs},
         server_check::check_server,
-        snapshot_fetcher::SnapshotFetcher,
         sockets::PacketSocket,
         store_reader::{ReadMode, StoreReader},
     },
     crate::settings::{AnySettings, PassThroughRole, PassThroughSettings, load},
-    cardamomloom_coordination::passthrough::{OutgoingMessage, StoreAccess},
+    cardamomloom_coordination::passthrough::{
+        CopyOutcome, CopyResponse, OutgoingMessage, StoreAccess, balancer::SnapshotContent,
+    },
     cardamomloom_core::{
         Span, Time,
         error::{Error, io},
@@ -20,8 +22,8 @@
     cardamomloom_protocol::{
         forward::DatagramKey,
         passthrough::{
-            CatalogueDocument, DomainStatus, FlowAbsence, FlowOwner, HostReport, PeerMessage,
-            Registration, Snapshot, StoreEra, open, seal,
+            CatalogueDocument, CatalogueVersion, DomainStatus, FlowAbsence, FlowOwner, HostReport,
+            PeerMessage, Registration, Snapshot, StoreEra, open, seal,
         },
     },
     cardamomloom_transport::{clock::MonotonicClock, udp::ReceiveBatch},
@@ -75,7 +77,23 @@
     /// A fetch from a peer ended, with `None` when it failed.
     SnapshotFetched(Option<Box<Snapshot>>),
     /// A peer requests a snapshot of the state of this process.
-    SnapshotRequest(oneshot::Sender<Snapshot>),
+    SnapshotRequest {
+        /// Part of the state that the peer needs.
+        content: SnapshotContent,
+        /// Receives the snapshot.
+        reply: oneshot::Sender<Snapshot>,
+    },
+    /// A request to a peer for a copy of the catalogue has ended.
+    CopyFetched(Ipv4Addr, CopyOutcome),
+    /// A peer requests a copy of the catalogue.
+    CopyRequest {
+        /// Address of the peer.
+        receiver: Ipv4Addr,
+        /// Version that the peer has, or zero.
+        base: CatalogueVersion,
+        /// Receives the answer.
+        reply: oneshot::Sender<CopyResponse>,
+    },
     /// An operator requests the status document.
     StatusRequest(oneshot::Sender<serde_json::Value>),
     /// The backend server sent a report; the reply says whether it is acknowledged.
@@ -109,8 +127,8 @@
     pub read_mode: watch::Sender<ReadMode>,
     /// Era of the store, for the registration of a balancer.
     store_era: watch::Sender<Option<StoreEra>>,
-    /// Fetches snapshots from peers.
-    pub snapshot_fetcher: SnapshotFetcher,
+    /// Requests snapshots and copies of the catalogue from peers.
+    pub peers: PeerClient,
     /// Checks whether the backend server runs.
     pub server_checker: ServerChecker,
     /// Client of the store.
@@ -170,7 +188,7 @@
             is_ready,
             read_mode,
             store_era,
-            snapshot_fetcher: SnapshotFetcher::new(settings.http_port, events.clone())?,
+            peers: PeerClient::new(address, settings.http_port, events.clone())?,
             server_checker: ServerChecker {
                 clock,
                 events: events.clone(),
@@ -206,6 +224,32 @@
         });
     }
 
+    /// Answers the request of a peer for a copy of the catalogue. The peer gets no answer if the catalogue
+    /// cannot be encoded.
+    pub fn reply_copy(
+        receiver: Ipv4Addr,
+        response: std::result::Result<CopyResponse, Error>,
+        reply: oneshot::Sender<CopyResponse>,
+    ) {
+        match response {
+            Ok(response) => {
+                if let CopyResponse::Copy(copy) = &response {
+                    let bytes = copy.len() as u64;
+                    metrics::counter!("cardamomloom_catalogue_copies_total").increment(1);
+                    metrics::counter!("cardamomloom_catalogue_copy_bytes_total").increment(bytes);
+                } else {
+                    metrics::counter!("cardamomloom_catalogue_refusals_total").increment(1);
+                }
+                // Sending fails when the HTTP client has disconnected.
+                let _ = reply.send(response);
+            }
+            Err(error) => warn!(
+                event = "catalogue_encode_failed", receiver:%;
+                "no copy of the catalogue sent: {error}"
+            ),
+        }
+    }
+
     /// Publishes for how long this process has known that its catalogue is outdated.
     pub fn publish_catalogue_lag(behind_for: Option<Span>) {
         let lag = behind_for.unwrap_or(Span::ZERO).to_duration();
--- a/crates/protocol/src/passthrough/mod.rs
+++ b/crates/protocol/src/passthrough/mod.rs
@@ -1,12 +1,14 @@
 //! Pass-through delivery: backend servers terminate the flows, and balancers and agents relay
 //! packets without changing them.
 
+mod copy;
 mod document;
 mod header;
 mod message;
 mod segment;
 
 pub use {
+    copy::{COPY_FORMAT, CatalogueCopy, CatalogueDigest, CatalogueStep, CopyRefusal, RouteEdit},
     document::{
         CatalogueDocument, CatalogueVersion, DomainStatus, HostReport, HostReportState,
         Registration, RouteEntry, RouteTarget, ServiceEntry, StoreEra, StorePosition,
--- a/crates/standins/src/passthrough/simulation/copies.rs
+++ b/crates/standins/src/passthrough/simulation/copies.rs
@@ -2,11 +2,17 @@
 
 use {
     super::{Event, Simulation},
-    cardamomloom_coordination::passthrough::StoreAccess,
-    cardamomloom_protocol::passthrough::{CatalogueDocument, Snapshot},
+    cardamomloom_coordination::passthrough::{
+        CopyOutcome, CopyRequest, CopyResponse, StoreAccess, balancer::SnapshotContent,
+    },
+    cardamomloom_core::Span,
+    cardamomloom_protocol::passthrough::{CatalogueDocument, CatalogueVersion},
     std::net::Ipv4Addr,
 };
 
+/// Time after which a request to a process that does not run has failed.
+const CONNECT_TIMEOUT: Span = Span::from_millis(800);
+
 impl Simulation {
     /// Reads the store for a process: at once, or over the link of the process when the catalogue has
     /// changed and links have a rate.
@@ -56,67 +62,113 @@
         }
     }
 
-    /// Starts to copy the state of a balancer to a process, unless a copy is on its way. Requests are
-    /// subject to neither loss nor delay here.
-    pub(super) fn start_copy(&mut self, to: Ipv4Addr, generation: u64) {
+    /// Starts the requests of a process that are due. A request is subject to neither loss nor delay
+    /// here; the answer takes its time on the links of both processes.
+    pub(super) fn request_copies(&mut self, to: Ipv4Addr, generation: u64) {
         let now = self.now;
-        let source = if let Some(process) = self.balancers.get_mut(&to) {
-            let source = (!process.is_copying).then(|| process.core.snapshot_source(now));
-            source.flatten()
+        self.copy_snapshot(to);
+        let request = if let Some(process) = self.balancers.get_mut(&to) {
+            process.core.next_copy_request(now)
         } else if let Some(process) = self.agents.get_mut(&to) {
-            let source = (!process.is_copying).then(|| process.core.snapshot_source());
-            source.flatten()
+            process.core.next_copy_request(now)
         } else {
             None
         };
-        let copy = source
-            .and_then(|source| self.balancers.get(&source).map(|process| (source, process)))
-            .filter(|(_, process)| process.is_up)
-            .map(|(source, process)| (source, Box::new(process.core.snapshot(now))));
-        let Some((source, copy)) = copy else { return };
-        if self.options.link_bytes_per_s == 0 {
-            self.on_copy_ended(to, generation, Some(copy));
+        let Some(CopyRequest { peer, base }) = request else {
             return;
+        };
+        self.copy_requests += 1;
+        let outcome = self.request_copy(to, peer, base);
+        let end = match &outcome {
+            CopyOutcome::Copy(encoded) => {
+                let sent = self.links.transfer(now, peer, encoded.len());
+                sent.max(self.links.transfer(now, to, encoded.len()))
+            }
+            CopyOutcome::Refused(_) => now,
+            // A process that does not run refuses the connection, or is silent until a timeout.
+            CopyOutcome::Failed => now + CONNECT_TIMEOUT,
+        };
+        if self.options.link_bytes_per_s == 0 {
+            self.on_copy_ended(to, generation, peer, &outcome);
+        } else {
+            let round_trip = Span(2 * self.options.delay.0);
+            self.schedule_at(
+                end + round_trip,
+                Event::CopyEnded {
+                    to,
+                    generation,
+                    peer,
+                    outcome,
+                },
+            );
         }
-        self.set_copying(to, true);
-        let sent = self.links.transfer(now, source, json_bytes(&copy));
-        let end = sent.max(self.links.transfer(now, to, json_bytes(&copy)));
-        let copy = Some(copy);
-        self.schedule_at(
-            end,
-            Event::CopyEnded {
-                to,
-                generation,
-                copy,
-            },
-        );
     }
 
-    /// Applies the copy that a process has received.
+    fn request_copy(
+        &mut self,
+        receiver: Ipv4Addr,
+        peer: Ipv4Addr,
+        base: CatalogueVersion,
+    ) -> CopyOutcome {
+        let now = self.now;
+        let response = if let Some(process) = self.balancers.get_mut(&peer) {
+            process
+                .is_up
+                .then(|| process.core.copy_for(now, receiver, base))
+        } else if let Some(process) = self.agents.get_mut(&peer) {
+            process
+                .is_up
+                .then(|| process.core.copy_for(now, receiver, base))
+        } else {
+            None
+        };
+        match response {
+            Some(Ok(CopyResponse::Copy(encoded))) => CopyOutcome::Copy(encoded.to_vec()),
+            Some(Ok(CopyResponse::Refused(refusal))) => CopyOutcome::Refused(refusal),
+            Some(Err(_)) | None => CopyOutcome::Failed,
+        }
+    }
+
+    /// Applies the outcome of a request for a copy.
     pub(super) fn on_copy_ended(
         &mut self,
         to: Ipv4Addr,
         generation: u64,
-        copy: Option<Box<Snapshot>>,
+        peer: Ipv4Addr,
+        outcome: &CopyOutcome,
     ) {
         if !self.is_current(to, generation) {
             return;
         }
-        self.set_copying(to, false);
-        let Some(copy) = copy else { return };
         if let Some(process) = self.balancers.get_mut(&to) {
-            let outgoing = process.core.on_snapshot(self.now, *copy);
+            let outgoing = process.core.on_copy(self.now, peer, outcome);
             self.send_control(to, outgoing);
         } else if let Some(process) = self.agents.get_mut(&to) {
-            process.core.on_snapshot(self.now, *copy);
+            process.core.on_copy(self.now, peer, outcome);
         }
     }
 
-    fn set_copying(&mut self, address: Ipv4Addr, is_copying: bool) {
-        if let Some(process) = self.balancers.get_mut(&address) {
-            process.is_copying = is_copying;
-        } else if let Some(process) = self.agents.get_mut(&address) {
-            process.is_copying = is_copying;
+    /// Copies what a process that starts needs besides the catalogue.
+    fn copy_snapshot(&mut self, to: Ipv4Addr) {
+        let now = self.now;
+        let (source, content) = if let Some(process) = self.balancers.get_mut(&to) {
+            let source = process.core.snapshot_source(now);
+            (source, SnapshotContent::WithoutCatalogue)
+        } else if let Some(process) = self.agents.get_mut(&to) {
+            (process.core.snapshot_source(), SnapshotContent::Membership)
+        } else {
+            return;
+        };
+        let snapshot = source
+            .and_then(|source| self.balancers.get(&source))
+            .filter(|process| process.is_up)
+            .map(|process| process.core.snapshot_of(now, content));
+        let Some(snapshot) = snapshot else { return };
+        if let Some(process) = self.balancers.get_mut(&to) {
+            let outgoing = process.core.on_snapshot(now, snapshot);
+            self.send_control(to, outgoing);
+        } else if let Some(process) = self.agents.get_mut(&to) {
+            process.core.on_snapshot(now, snapshot);
         }
     }
 }
--- a/crates/standins/src/passthrough/simulation/events.rs
+++ b/crates/standins/src/passthrough/simulation/events.rs
@@ -36,8 +36,14 @@
             Event::CopyEnded {
                 to,
                 generation,
-                copy,
-            } => self.on_copy_ended(to, generation, copy),
+                peer,
+                outcome,
+            } => {
+                self.on_copy_ended(to, generation, peer, &outcome);
+                if self.is_current(to, generation) {
+                    self.request_copies(to, generation);
+                }
+            }
             Event::StoreAnswer(process, generation, document, access) => {
                 self.on_store_answer(process, generation, document, access);
             }
@@ -247,7 +253,7 @@
         if access != StoreAccess::None && reaches_store {
             self.read_store(address, generation, access);
         }
-        self.start_copy(address, generation);
+        self.request_copies(address, generation);
     }
     /// Delivers a report of the backend server beside an agent to the agent, and sends the control
     /// messages that result from it.
--- a/crates/standins/src/passthrough/simulation/faults.rs
+++ b/crates/standins/src/passthrough/simulation/faults.rs
@@ -84,7 +84,6 @@
             core,
             generation,
             is_up: true,
-            is_copying: false,
         };
         self.agents.insert(agent, process);
         self.schedule(Span::ZERO, Event::Tick(agent, generation));
@@ -111,7 +110,6 @@
             core: Balancer::new(BalancerOptions::default(), balancer, &seeds, self.now),
             generation,
             is_up: true,
-            is_copying: false,
             is_in_rotation: false,
             is_cut_from_store: false,
             loses_inbound_control: false,
--- a/crates/standins/src/passthrough/simulation/mod.rs
+++ b/crates/standins/src/passthrough/simulation/mod.rs
@@ -13,14 +13,14 @@
         ServerEvent, TestPacketFormat, Violation, domain_name, route, service_name,
     },
     cardamomloom_coordination::passthrough::{
-        StoreAccess,
+        CopyOutcome, StoreAccess,
         agent::{Agent, AgentOptions},
         balancer::Balancer,
     },
     cardamomloom_core::{DomainName, Span, Time},
     cardamomloom_protocol::passthrough::{
         CatalogueDocument, CatalogueVersion, DomainStatus, FlowId, HostReportState, PeerMessage,
-        RelayHeader, RouteTarget, Snapshot, StoreEra, StoreRevision,
+        RelayHeader, RouteTarget, StoreEra, StoreRevision,
     },
     layout::{agent_address, balancer_address, initial_catalogue, server_address, service_route},
     links::Links,
@@ -102,11 +102,12 @@
     ToBalancer(Ipv4Addr, Vec<u8>),
     ToAgent(Ipv4Addr, RelayHeader, Vec<u8>),
     ControlMessage(Ipv4Addr, PeerMessage),
-    /// The copy of the state of a process arrived, or its transfer failed.
+    /// A request of a process for a copy of the catalogue has ended.
     CopyEnded {
         to: Ipv4Addr,
         generation: u64,
-        copy: Option<Box<Snapshot>>,
+        peer: Ipv4Addr,
+        outcome: CopyOutcome,
     },
     /// The catalogue arrived from the store.
     StoreAnswer(Ipv4Addr, u64, CatalogueDocument, StoreAccess),
@@ -124,8 +125,6 @@
     core: Balancer,
     generation: u64,
     is_up: bool,
-    /// Whether a copy of the state of another process is on its way.
-    is_copying: bool,
     is_in_rotation: bool,
     is_cut_from_store: bool,
     /// Whether all control messages to it are lost.
@@ -138,8 +137,6 @@
     core: Agent,
     generation: u64,
     is_up: bool,
-    /// Whether a copy of the state of another process is on its way.
-    is_copying: bool,
 }
 
 struct Server {
@@ -171,6 +168,8 @@
     domain_status: DomainStatus,
     is_store_up: bool,
     links: Links,
+    /// Requests for copies of the catalogue since the last call of [`Self::take_copy_requests`].
+    copy_requests: usize,
     next_caller: u32,
     next_generation: u64,
     /// Latest time at which a process was killed or started, or the loss of control messages to a
@@ -220,6 +219,7 @@
             },
             is_store_up: true,
             links: Links::new(options.link_bytes_per_s),
+            copy_requests: 0,
             next_caller: 0,
             next_generation: 0,
             last_disruption: Time::ZERO,
@@ -315,6 +315,11 @@
         process.map_or(0, |process| process.core.counts().2)
     }
 
+    /// Returns the number of requests for copies of the catalogue since the last call, and resets it.
+    pub const fn take_copy_requests(&mut self) -> usize {
+        std::mem::replace(&mut self.copy_requests, 0)
+    }
+
     /// Returns the versions of the catalogue that running processes have, with their numbers.
     #[must_use]
     pub fn catalogue_versions(&self) -> BTreeMap<CatalogueVersion, usize> {
