Tests of copies of the catalogue, and a bound on the routes of a change

Changes lead to the sender's catalogue from each base (property test), malformed copies are errors, a stated size and repeated routes do not exhaust memory. The last test failed before: a change could name the routes of its base any number of times.

--- a/crates/protocol/src/passthrough/copy.rs
+++ b/crates/protocol/src/passthrough/copy.rs
@@ -25,6 +25,9 @@
 /// Largest decompressed size of a copy in bytes. An object of the store has at most 1 MiB, as JSON.
 const MAX_COPY_BYTES: usize = 8 << 20;
 
+/// Maximum number of routes after a change. An object of the store holds fewer.
+const MAX_ROUTES: usize = 65_536;
+
 /// Digest of a catalogue; equal digests show that two processes have the same one.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
@@ -159,6 +162,11 @@
                 }
                 RouteEdit::Insert(inserted) => routes.extend_from_slice(inserted),
             }
+            if routes.len() > MAX_ROUTES {
+                return Err(malformed(format!(
+                    "catalogue: more than {MAX_ROUTES} routes after a change"
+                )));
+            }
         }
         Ok(CatalogueDocument {
             version: self.version,
