Open no flows by a catalogue that is known to be outdated

It belongs to the class of processes that know that their state is old and decide by it.

Change: a balancer refuses no address while it knows of a newer version. From 2 s after the first announcement it places flows only on hosts whose agents have a newer catalogue, which decide, and is not ready; an agent accepts no flow from a balancer that is as old. SYNs are dropped without a reset, since the newer version may allow them. Open flows go on. A process that no longer hears of the newer version is cut off and serves on, and a version that the store has not confirmed is forgotten, because a restore of the store may have lost it.

--- a/crates/coordination/src/passthrough/agent/mod.rs
+++ b/crates/coordination/src/passthrough/agent/mod.rs
@@ -62,6 +62,8 @@
     OtherService,
     /// The catalogue does not route the address to the service.
     NoRoute,
+    /// Both this agent and the balancer lack a newer catalogue.
+    OutdatedCatalogue,
     /// No host accepts the new flow.
     NoHost,
     /// The host does not hold the flow, and no other owner is known.
@@ -77,6 +79,7 @@
         match self {
             Self::OtherService => "other_service",
             Self::NoRoute => "no_route",
+            Self::OutdatedCatalogue => "outdated_catalogue",
             Self::NoHost => "no_host",
             Self::UnknownFlow => "unknown_flow",
             Self::NotOwner => "not_owner",
@@ -386,6 +389,10 @@
             actions.push(Action::Deliver);
             return;
         }
+        if knows_routes && self.catalogue.is_outdated(now) {
+            actions.push(Action::Drop(DropReason::OutdatedCatalogue));
+            return;
+        }
         if !self.accepts_flows(now) {
             self.relay_to_next(header, &flow, actions);
             return;
--- a/crates/coordination/src/passthrough/balancer/control.rs
+++ b/crates/coordination/src/passthrough/balancer/control.rs
@@ -270,7 +270,7 @@
         let has_waited = now.since(self.started) >= self.options.ready_without_hosts_after;
         let may_serve =
             self.can_place_flows(now) || (self.catalogue.is_initialized() && has_waited);
-        may_serve && !self.control.is_stopping
+        may_serve && !self.control.is_stopping && !self.catalogue.is_outdated(now)
     }
 
     /// Starts to stop: the balancer is no longer ready. Returns the heartbeats that announce it.
@@ -318,8 +318,9 @@
     /// older catalogue.
     fn on_announcement(&mut self, now: Time, announcement: Announcement) -> Vec<OutgoingMessage> {
         let answer = self.answer(now, &announcement, announcement.asks_hosts);
+        let interval = Span::from_millis(u64::from(announcement.interval_ms));
         self.catalogue
-            .observe_version(now, announcement.agent, announcement.catalogue);
+            .observe_version(now, announcement.agent, announcement.catalogue, interval);
         let (agent, run, state) = (announcement.agent, announcement.run, announcement.state);
         if self.hosts.on_announcement(now, announcement) && self.control.host_changes.record() {
             info!(event = "host_changed", agent:%, life:% = run, standing:? = state; "host is new, or announced a new run, state or service");
--- a/crates/coordination/src/passthrough/balancer/mod.rs
+++ b/crates/coordination/src/passthrough/balancer/mod.rs
@@ -98,6 +98,8 @@
     NoRoute,
     /// No host of the service accepts new flows.
     NoHost,
+    /// The balancer lacks a newer catalogue, and no agent that has it serves the address.
+    OutdatedCatalogue,
 }
 
 impl DropReason {
@@ -108,6 +110,7 @@
             Self::NoCatalogue => "uninformed",
             Self::NoRoute => "no_route",
             Self::NoHost => "no_host",
+            Self::OutdatedCatalogue => "outdated_catalogue",
         }
     }
 }
@@ -302,14 +305,15 @@
                 .is_domain_out(now, &record.announcement.domain)
     }
 
-    /// Refuses a retransmitted SYN to an unknown address if the catalogue is recent. The first SYN
-    /// is dropped without an answer, because its route may be newer than this balancer's
-    /// catalogue; the caller retransmits it 200 ms later.
+    /// Refuses a retransmitted SYN to an unknown address if the catalogue is recent and no newer one is
+    /// known to exist. The first SYN is dropped without an answer, because its route may be newer than
+    /// this balancer's catalogue; the caller retransmits it 200 ms later.
     fn on_unknown_address(&self, now: Time, segment: &Segment) -> ForwardingDecision {
         let is_recent = self
             .catalogue
             .confirmed_ago(now)
-            .is_some_and(|ago| ago <= self.options.max_catalogue_age);
+            .is_some_and(|ago| ago <= self.options.max_catalogue_age)
+            && self.catalogue.behind_for(now).is_none();
         if segment.is_syn_without_ack() && segment.acknowledgment > 0 && is_recent {
             ForwardingDecision::Refuse(DropReason::NoRoute)
         } else {
@@ -325,6 +329,9 @@
         segment: &Segment,
         service: &ServiceName,
     ) -> ForwardingDecision {
+        if self.catalogue.is_outdated(now) {
+            return ForwardingDecision::Drop(DropReason::OutdatedCatalogue);
+        }
         let is_first_syn = segment.is_syn_without_ack() && segment.acknowledgment == 0;
         // A balancer without any responsive agent does not know the state of the service.
         let knows_hosts = self.hosts.has_responsive_agent(now) && !self.may_queue(now, segment);
@@ -336,7 +343,8 @@
     }
 
     /// Places a new flow on the usable host with the highest rendezvous score. A retransmitted SYN
-    /// goes to another host than the one before, unless there is no other.
+    /// goes to another host than the one before, unless there is no other. A balancer with an outdated
+    /// catalogue leaves the decision to an agent with a newer one.
     fn place(
         &mut self,
         now: Time,
@@ -350,10 +358,11 @@
             .filter(|_| retransmissions > 0)
             .map(|placement| placement.agent);
         let hash = flow_hash(flow);
-        let usable_hosts = self
-            .hosts
-            .of_service(service)
-            .filter(|record| self.is_usable(now, record));
+        let is_outdated = self.catalogue.is_outdated(now);
+        let version = self.catalogue.version();
+        let usable_hosts = self.hosts.of_service(service).filter(|record| {
+            self.is_usable(now, record) && (!is_outdated || record.announcement.catalogue > version)
+        });
         let chosen = usable_hosts
             .min_by_key(|record| {
                 let agent = record.announcement.agent;
--- a/crates/coordination/src/passthrough/catalogue/lag.rs
+++ b/crates/coordination/src/passthrough/catalogue/lag.rs
@@ -11,18 +11,31 @@
 /// Maximum number of announced versions that a replica remembers until it has a later one.
 const MAX_ANNOUNCED_VERSIONS: usize = 32;
 
+/// Least time between the announcement of a version and a confirmation of an older one by the store that
+/// shows that the store has lost the version. It exceeds the delay of a heartbeat.
+const MIN_CONFIRMATION_GAP: Span = Span::from_millis(250);
+
+/// Consecutive heartbeats that may be missing from a process that has announced a version.
+const MAX_MISSED_ANNOUNCEMENTS: u64 = 3;
+
+/// Least time after an announcement in which its sender counts as reachable.
+const MIN_ANNOUNCEMENT_TTL: Span = Span::from_secs(2);
+
 impl CatalogueView {
-    /// Records that another process has a version of the catalogue. Returns whether it is newer than
-    /// this replica.
+    /// Records that another process, which sends a message each `interval`, has a version of the
+    /// catalogue. Returns whether it is newer than this replica.
     pub fn observe_version(
         &mut self,
         now: Time,
         process: Ipv4Addr,
         version: CatalogueVersion,
+        interval: Span,
     ) -> bool {
         if version <= self.version() {
             return false;
         }
+        let ttl = Span(interval.0 * MAX_MISSED_ANNOUNCEMENTS).max(MIN_ANNOUNCEMENT_TTL);
+        self.announced_until = self.announced_until.max(now + ttl);
         self.copy_requests.observe(now, process, version);
         self.announced.entry(version).or_insert(now);
         if self.announced.len() > MAX_ANNOUNCED_VERSIONS {
@@ -48,6 +61,24 @@
         Some(now.since(*announced_at))
     }
 
+    /// Returns whether this process has known for so long of a newer version that it must not open flows
+    /// by its own. A process that no longer hears of the newer version is cut off, and serves on.
+    #[must_use]
+    pub fn is_outdated(&self, now: Time) -> bool {
+        now <= self.announced_until
+            && self
+                .behind_for(now)
+                .is_some_and(|behind_for| behind_for >= self.options.outdated_after)
+    }
+
+    /// Forgets the versions that were announced before the store confirmed this replica. A restore of
+    /// the store from a copy loses versions.
+    pub(super) fn forget_lost_versions(&mut self, confirmed_at: Time) {
+        let lost_before = confirmed_at - MIN_CONFIRMATION_GAP;
+        self.announced
+            .retain(|_, announced_at| *announced_at > lost_before);
+    }
+
     /// Logs when this process has lacked an announced version for a while, and when it has caught up.
     pub fn log_behind(&mut self, now: Time) {
         let behind_for = self.behind_for(now);
--- a/crates/coordination/src/passthrough/catalogue/mod.rs
+++ b/crates/coordination/src/passthrough/catalogue/mod.rs
@@ -26,6 +26,9 @@
     /// Time after the announcement of a newer version from which the log reports that this process
     /// does not have it yet.
     pub report_behind_after: Span,
+    /// Time after the announcement of a newer version from which this process opens no flow by its own
+    /// version. It is shorter than the 3 s in which a change must be in force.
+    pub outdated_after: Span,
     /// Longest duration of a flow. Hosts of a service that is no longer a target of a route hold no
     /// flows to its address after this time.
     pub max_flow_duration: Span,
@@ -35,6 +38,7 @@
     fn default() -> Self {
         Self {
             report_behind_after: Span::from_secs(1),
+            outdated_after: Span::from_secs(2),
             max_flow_duration: Span::from_secs(60),
         }
     }
@@ -59,6 +63,8 @@
     /// Versions newer than this replica that other processes have announced, with the time of the
     /// first announcement of each.
     announced: BTreeMap<CatalogueVersion, Time>,
+    /// Time until which the processes that announced these versions count as reachable.
+    announced_until: Time,
     /// Whether the log reports this replica as behind.
     is_reported_behind: bool,
     copy_server: CopyServer,
@@ -225,13 +231,15 @@
         {
             self.confirm(now - Span::from_millis(u64::from(ago_ms)));
         }
-        self.observe_version(now, heartbeat.balancer, heartbeat.catalogue)
+        let interval = Span::from_millis(u64::from(heartbeat.interval_ms));
+        self.observe_version(now, heartbeat.balancer, heartbeat.catalogue, interval)
     }
 
     /// Records that the store confirmed this replica at `confirmed_at`; an earlier time than the
     /// latest recorded one has no effect.
     pub fn confirm(&mut self, confirmed_at: Time) {
         self.confirmed_at = self.confirmed_at.max(Some(confirmed_at));
+        self.forget_lost_versions(confirmed_at);
     }
 
     /// Returns the time since the store last confirmed this replica, or `None` if it never has.
--- a/crates/coordination/src/passthrough/spread/requests.rs
+++ b/crates/coordination/src/passthrough/spread/requests.rs
@@ -32,7 +32,7 @@
             failure_backoff: Span::from_secs(1),
             min_refusal_delay: Span::from_millis(40),
             max_refusal_delay: Span::from_millis(160),
-            source_ttl: Span::from_secs(10),
+            source_ttl: Span::from_secs(30),
         }
     }
 }
