--- a/crates/core/src/alert/mod.rs
+++ b/crates/core/src/alert/mod.rs
@@ -31,6 +31,8 @@
     HostFailing,
     /// SYNs are queued because the hosts of a service have no free slot.
     HeldOpenings,
+    /// A process knows of a newer catalogue and does not get it.
+    CatalogueBehind,
     /// A process receives datagrams with a wrong tag, or replayed datagrams.
     ControlRejected,
     /// The control thread of a process cannot keep up with incoming datagrams.
@@ -50,7 +52,7 @@
 
 impl Alert {
     /// All alerts, in the order of the operators' page.
-    pub const ALL: [Self; 15] = [
+    pub const ALL: [Self; 16] = [
         Self::StoreUnavailable,
         Self::BalancerUnreachable,
         Self::Isolated,
@@ -64,6 +66,7 @@
         Self::ConnectFailures,
         Self::HostFailing,
         Self::HeldOpenings,
+        Self::CatalogueBehind,
         Self::ControlRejected,
         Self::ControlOverflow,
     ];
@@ -86,6 +89,7 @@
             Self::ConnectFailures => AlertEntry::new("connect_failures", "`cardamomloom_connect_failures_total` rises", "Check the backend server next to this agent; its flows are placed on other hosts."),
             Self::HostFailing => AlertEntry::new("host_failing", "log event `host_failing`; `cardamomloom_admitted_share` < 0.5", "Look at the backend server beside the agent: its reports are good and its answers are failures. New flows come back by themselves once it answers; drain or restart it if it does not."),
             Self::HeldOpenings => AlertEntry::new("held_openings", "`cardamomloom_held_openings` > 0 for longer than 10 s", "The hosts of the service have no free slot; add hosts."),
+            Self::CatalogueBehind => AlertEntry::new("catalogue_behind", "log event `catalogue_behind`; `cardamomloom_catalogue_behind_seconds` > 1", "Look at `catalogue_copy_failed` and `store_lost` in the log of the process: it reaches neither the processes that have the newer catalogue nor the store. It opens no flows by its own catalogue; restart or replace it if it does not catch up."),
             Self::ControlRejected => AlertEntry::new("control_rejected", "`cardamomloom_control_rejected_total` or `cardamomloom_control_replayed_total` rises", "Check that all processes have the same `datagram_key`; otherwise look for the foreign sender."),
             Self::ControlOverflow => AlertEntry::new("control_overflow", "`cardamomloom_control_overflow_total` rises", "The instance is short of processor time; move it or give it more."),
         }
