--- a/crates/bench/src/experiment/mod.rs
+++ b/crates/bench/src/experiment/mod.rs
@@ -11,6 +11,7 @@
 mod forward;
 mod lookup;
 mod memory;
+mod spread;
 mod status;
 mod store;
 mod table;
@@ -58,6 +59,7 @@
         Box::new(forward::Forward),
         Box::new(churn::Churn),
         Box::new(lookup::Lookup),
+        Box::new(spread::Spread),
         Box::new(status::Status),
         Box::new(store::Store),
         Box::new(table::Table),
