--- a/crates/coordination/src/passthrough/agent/control.rs
+++ b/crates/coordination/src/passthrough/agent/control.rs
@@ -11,7 +11,7 @@
         control::HostState,
         passthrough::{
             AgentDeparture, AgentHeartbeat, Announcement, BalancerHeartbeat, CatalogueDocument,
-            CatalogueVersion, DomainStatus, HostListDigest, HostReport, PeerMessage, Snapshot,
+            DomainStatus, HostListDigest, HostReport, PeerMessage,
         },
     },
     log::{info, warn},
@@ -42,9 +42,9 @@
     /// Addresses that the host holds flows to and that the catalogue routes to other services.
     pub rerouted_addresses: Vec<SocketAddrV4>,
     /// Whether the agent has received the snapshot of a balancer.
-    has_snapshot: bool,
+    pub has_snapshot: bool,
     /// An initialized balancer to request a snapshot from.
-    snapshot_source: Option<Ipv4Addr>,
+    pub snapshot_source: Option<Ipv4Addr>,
     registry_retry: RegistryRetry,
     stopping_since: Option<Time>,
     last_state: Option<HostState>,
@@ -221,39 +221,6 @@
         self.catalogue.confirm(confirmed_at);
     }
 
-    /// Applies the snapshot of a balancer.
-    pub fn on_snapshot(&mut self, now: Time, snapshot: Snapshot) {
-        self.control.has_snapshot = true;
-        self.control.snapshot_source = None;
-        if let Some(document) = snapshot.catalogue {
-            self.on_catalogue(now, document);
-        }
-        if let Some(status) = snapshot.domain_status {
-            self.on_domain_status(now, status);
-        }
-        self.peers.add_all(now, snapshot.balancers);
-    }
-
-    /// Returns the balancer to request a snapshot from, if the agent has not received one since its
-    /// start. It learns the other balancers from it.
-    #[must_use]
-    pub const fn snapshot_source(&mut self) -> Option<Ipv4Addr> {
-        self.control.snapshot_source.take()
-    }
-
-    /// Returns the version of the catalogue, or zero when there is none.
-    #[must_use]
-    pub fn catalogue_version(&self) -> CatalogueVersion {
-        self.catalogue.version()
-    }
-
-    /// Returns for how long this process has known that a newer version of the catalogue exists, or
-    /// `None` while it knows of none.
-    #[must_use]
-    pub fn behind_for(&self, now: Time) -> Option<Span> {
-        self.catalogue.behind_for(now)
-    }
-
     /// Returns the time since the store last confirmed the catalogue, or `None` if it never has.
     #[must_use]
     pub fn confirmed_ago(&self, now: Time) -> Option<Span> {
--- a/crates/coordination/src/passthrough/agent/copies.rs
+++ b/crates/coordination/src/passthrough/agent/copies.rs
@@ -1,10 +1,11 @@
-//! Copies of the catalogue between an agent and other processes.
+//! State that an agent and other processes copy from each other: the catalogue, and the snapshot of a
+//! balancer.
 
 use {
     super::Agent,
     crate::passthrough::{CopyOutcome, CopyRequest, CopyResponse},
-    cardamomloom_core::{Time, error::Error},
-    cardamomloom_protocol::passthrough::CatalogueVersion,
+    cardamomloom_core::{Span, Time, error::Error},
+    cardamomloom_protocol::passthrough::{CatalogueVersion, Snapshot},
     std::net::Ipv4Addr,
 };
 
@@ -12,6 +13,39 @@
 type Result<T> = std::result::Result<T, Error>;
 
 impl Agent {
+    /// Returns the version of the catalogue, or zero when there is none.
+    #[must_use]
+    pub fn catalogue_version(&self) -> CatalogueVersion {
+        self.catalogue.version()
+    }
+
+    /// Returns for how long this process has known that a newer version of the catalogue exists, or
+    /// `None` while it knows of none.
+    #[must_use]
+    pub fn behind_for(&self, now: Time) -> Option<Span> {
+        self.catalogue.behind_for(now)
+    }
+
+    /// Applies the snapshot of a balancer.
+    pub fn on_snapshot(&mut self, now: Time, snapshot: Snapshot) {
+        self.control.has_snapshot = true;
+        self.control.snapshot_source = None;
+        if let Some(document) = snapshot.catalogue {
+            self.on_catalogue(now, document);
+        }
+        if let Some(status) = snapshot.domain_status {
+            self.on_domain_status(now, status);
+        }
+        self.peers.add_all(now, snapshot.balancers);
+    }
+
+    /// Returns the balancer to request a snapshot from, if the agent has not received one since its
+    /// start. It learns the other balancers from it.
+    #[must_use]
+    pub const fn snapshot_source(&mut self) -> Option<Ipv4Addr> {
+        self.control.snapshot_source.take()
+    }
+
     /// Returns the next request for a copy of the catalogue, if one is due. Its outcome must be passed
     /// to [`Self::on_copy`].
     pub fn next_copy_request(&mut self, now: Time) -> Option<CopyRequest> {
--- a/crates/coordination/src/passthrough/balancer/control.rs
+++ b/crates/coordination/src/passthrough/balancer/control.rs
@@ -11,8 +11,7 @@
     cardamomloom_core::{DomainName, Span, Time},
     cardamomloom_protocol::passthrough::{
         AgentHeartbeat, Announcement, BalancerHeartbeat, CatalogueDocument, CatalogueVersion,
-        DomainStatus, HostAdvertisement, HostListDigest, PeerMessage, Snapshot, StoreEra,
-        StorePosition,
+        DomainStatus, HostAdvertisement, HostListDigest, PeerMessage, StoreEra, StorePosition,
     },
     log::info,
     std::net::Ipv4Addr,
@@ -54,17 +53,6 @@
     pub hosts: Vec<HostSummary>,
 }
 
-/// Part of the state of a balancer that a process which starts requests.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum SnapshotContent {
-    /// Everything. Processes of releases without copies of the catalogue request this.
-    Whole,
-    /// Everything but the catalogue, for a balancer.
-    WithoutCatalogue,
-    /// The known balancers and the status of the failure domains, for an agent.
-    Membership,
-}
-
 /// State of a host as shown to operators.
 #[derive(Clone, Debug)]
 pub struct HostSummary {
@@ -80,7 +68,7 @@
     pub host_changes: HostChanges,
     /// Counts heartbeat rounds and snapshot requests. It selects the position at which the list of
     /// balancers starts, and the source of a snapshot.
-    round: usize,
+    pub round: usize,
     /// Time at which the store last answered this process.
     last_store_read: Option<Time>,
     is_stopping: bool,
@@ -164,79 +152,6 @@
         self.catalogue.confirm(confirmed_at);
     }
 
-    /// Applies the snapshot of a peer. Returns the messages that announce changes.
-    pub fn on_snapshot(&mut self, now: Time, snapshot: Snapshot) -> Vec<OutgoingMessage> {
-        let mut outgoing = Vec::new();
-        if let Some(document) = snapshot.catalogue {
-            outgoing.extend(self.on_catalogue(now, document));
-        }
-        if let Some(status) = snapshot.domain_status {
-            outgoing.extend(self.on_domain_status(now, status));
-        }
-        self.peers.add_all(now, snapshot.balancers);
-        for host in snapshot.hosts {
-            self.hosts.on_peer_record(now, host);
-        }
-        outgoing
-    }
-
-    /// Returns a copy of the whole state, for a process that starts.
-    #[must_use]
-    pub fn snapshot(&self, now: Time) -> Snapshot {
-        self.snapshot_of(now, SnapshotContent::Whole)
-    }
-
-    /// Returns a copy of a part of the state, for a process that starts. It has only the hosts whose
-    /// agents are responsive, because the receiver cannot distinguish the others from these.
-    #[must_use]
-    pub fn snapshot_of(&self, now: Time, content: SnapshotContent) -> Snapshot {
-        let hosts = match content {
-            SnapshotContent::Membership => Vec::new(),
-            SnapshotContent::Whole | SnapshotContent::WithoutCatalogue => {
-                let responsive = self.hosts.responsive(now);
-                responsive
-                    .map(|record| record.announcement.clone())
-                    .collect()
-            }
-        };
-        let document = self.catalogue.document();
-        Snapshot {
-            catalogue: document
-                .filter(|_| content == SnapshotContent::Whole)
-                .cloned(),
-            domain_status: self.catalogue.domain_status().cloned(),
-            confirmed_ago_ms: self.confirmed_ago_ms(now),
-            balancers: self.peers.contacted().chain([self.own_address]).collect(),
-            hosts,
-        }
-    }
-
-    /// Returns the balancer to request a snapshot from while this balancer lacks the catalogue or the
-    /// status of the failure domains: any that can answer. Balancers that start together ask different
-    /// ones.
-    #[must_use]
-    pub fn snapshot_source(&mut self, now: Time) -> Option<Ipv4Addr> {
-        if self.catalogue.is_initialized() {
-            return None;
-        }
-        self.control.round += 1;
-        let turn = self.control.round + usize::from(self.own_address.octets()[3]);
-        self.peers.snapshot_source(now, turn)
-    }
-
-    /// Returns the version of the catalogue, or zero when there is none.
-    #[must_use]
-    pub fn catalogue_version(&self) -> CatalogueVersion {
-        self.catalogue.version()
-    }
-
-    /// Returns for how long this process has known that a newer version of the catalogue exists, or
-    /// `None` while it knows of none.
-    #[must_use]
-    pub fn behind_for(&self, now: Time) -> Option<Span> {
-        self.catalogue.behind_for(now)
-    }
-
     /// Returns the time since the store last confirmed the catalogue, or `None` if it never has.
     #[must_use]
     pub fn confirmed_ago(&self, now: Time) -> Option<Span> {
@@ -511,7 +426,7 @@
         self.hosts.advertisements(agent, is_usable)
     }
 
-    fn confirmed_ago_ms(&self, now: Time) -> Option<u32> {
+    pub(super) fn confirmed_ago_ms(&self, now: Time) -> Option<u32> {
         self.catalogue
             .confirmed_ago(now)
             .map(|ago| u32::try_from(ago.as_millis()).unwrap_or(u32::MAX))
--- a/crates/coordination/src/passthrough/balancer/mod.rs
+++ b/crates/coordination/src/passthrough/balancer/mod.rs
@@ -9,7 +9,8 @@
 mod startup_queue;
 
 pub use {
-    control::{BalancerSummary, HostSummary, SnapshotContent},
+    control::{BalancerSummary, HostSummary},
+    copies::SnapshotContent,
     outages::ServiceOutages,
     startup_queue::StartupQueue,
 };
--- a/crates/standins/src/passthrough/simulation/copies.rs
+++ b/crates/standins/src/passthrough/simulation/copies.rs
@@ -7,13 +7,39 @@
     },
     cardamomloom_core::Span,
     cardamomloom_protocol::passthrough::{CatalogueDocument, CatalogueVersion},
-    std::net::Ipv4Addr,
+    std::{collections::BTreeMap, net::Ipv4Addr},
 };
 
 /// Time after which a request to a process that does not run has failed.
 const CONNECT_TIMEOUT: Span = Span::from_millis(800);
 
 impl Simulation {
+    /// Returns the number of requests for copies of the catalogue since the last call, and resets it.
+    pub const fn take_copy_requests(&mut self) -> usize {
+        std::mem::replace(&mut self.copy_requests, 0)
+    }
+
+    /// Returns the versions of the catalogue that running processes have, with their numbers.
+    #[must_use]
+    pub fn catalogue_versions(&self) -> BTreeMap<CatalogueVersion, usize> {
+        let balancers = self.balancers.values().filter(|process| process.is_up);
+        let agents = self.agents.values().filter(|process| process.is_up);
+        let versions = balancers
+            .map(|process| process.core.catalogue_version())
+            .chain(agents.map(|process| process.core.catalogue_version()));
+        let mut counts = BTreeMap::new();
+        for version in versions {
+            *counts.entry(version).or_default() += 1;
+        }
+        counts
+    }
+
+    /// Returns the version of the catalogue that the store has.
+    #[must_use]
+    pub const fn stored_version(&self) -> CatalogueVersion {
+        self.catalogue.version
+    }
+
     /// Reads the store for a process: at once, or over the link of the process when the catalogue has
     /// changed and links have a rate.
     pub(super) fn read_store(&mut self, address: Ipv4Addr, generation: u64, access: StoreAccess) {
--- a/crates/standins/src/passthrough/simulation/mod.rs
+++ b/crates/standins/src/passthrough/simulation/mod.rs
@@ -19,8 +19,8 @@
     },
     cardamomloom_core::{DomainName, Span, Time},
     cardamomloom_protocol::passthrough::{
-        CatalogueDocument, CatalogueVersion, DomainStatus, FlowId, HostReportState, PeerMessage,
-        RelayHeader, RouteTarget, StoreEra, StoreRevision,
+        CatalogueDocument, DomainStatus, FlowId, HostReportState, PeerMessage, RelayHeader,
+        RouteTarget, StoreEra, StoreRevision,
     },
     layout::{agent_address, balancer_address, initial_catalogue, server_address, service_route},
     links::Links,
@@ -315,32 +315,6 @@
         process.map_or(0, |process| process.core.counts().2)
     }
 
-    /// Returns the number of requests for copies of the catalogue since the last call, and resets it.
-    pub const fn take_copy_requests(&mut self) -> usize {
-        std::mem::replace(&mut self.copy_requests, 0)
-    }
-
-    /// Returns the versions of the catalogue that running processes have, with their numbers.
-    #[must_use]
-    pub fn catalogue_versions(&self) -> BTreeMap<CatalogueVersion, usize> {
-        let balancers = self.balancers.values().filter(|process| process.is_up);
-        let agents = self.agents.values().filter(|process| process.is_up);
-        let versions = balancers
-            .map(|process| process.core.catalogue_version())
-            .chain(agents.map(|process| process.core.catalogue_version()));
-        let mut counts = BTreeMap::new();
-        for version in versions {
-            *counts.entry(version).or_default() += 1;
-        }
-        counts
-    }
-
-    /// Returns the version of the catalogue that the store has.
-    #[must_use]
-    pub const fn stored_version(&self) -> CatalogueVersion {
-        self.catalogue.version
-    }
-
     /// Returns the number of open flows of the backend server beside an agent.
     #[must_use]
     pub fn open_flows(&self, agent: Ipv4Addr) -> usize {
