Wire types and options of the load control, all off by default

Agents will tell the loads of their hosts to balancers with heartbeats, and balancers the least expected wait of a service with each packet.

--- a/crates/coordination/src/passthrough/agent/control.rs
+++ b/crates/coordination/src/passthrough/agent/control.rs
@@ -198,7 +198,10 @@
                     .retain(|host| host.agent != departure.agent);
                 Vec::new()
             }
-            PeerMessage::Announcement(_) | PeerMessage::Heartbeat(_) => Vec::new(),
+            PeerMessage::Announcement(_)
+            | PeerMessage::Heartbeat(_)
+            | PeerMessage::LoadHeartbeat(_)
+            | PeerMessage::PeerLoads(_) => Vec::new(),
         }
     }
 
--- a/crates/coordination/src/passthrough/agent/options.rs
+++ b/crates/coordination/src/passthrough/agent/options.rs
@@ -2,13 +2,15 @@
 
 use {
     super::OutcomeOptions,
-    crate::passthrough::{PeerDirectoryOptions, StoreAccessOptions},
+    crate::passthrough::{PeerDirectoryOptions, StoreAccessOptions, load::LoadControlOptions},
     cardamomloom_core::Span,
 };
 
 /// Limits, intervals and timeouts of an agent.
 #[derive(Clone, Copy, Debug)]
 pub struct AgentOptions {
+    /// Load control of new flows.
+    pub load_control: LoadControlOptions,
     /// Timeouts of the balancer directory.
     pub peers: PeerDirectoryOptions,
     /// Time after which a SYN that the backend server has not answered is also sent to another
@@ -80,6 +82,7 @@
 impl Default for AgentOptions {
     fn default() -> Self {
         Self {
+            load_control: LoadControlOptions::default(),
             peers: PeerDirectoryOptions::default(),
             syn_timeout: Span::from_millis(40),
             suspect_after: Span::from_millis(300),
--- a/crates/coordination/src/passthrough/balancer/control.rs
+++ b/crates/coordination/src/passthrough/balancer/control.rs
@@ -112,9 +112,11 @@
                 self.on_owner(now, owner.flow, owner.agent);
                 Vec::new()
             }
-            PeerMessage::Absence(_) | PeerMessage::Departure(_) | PeerMessage::HostListPart(_) => {
-                Vec::new()
-            }
+            PeerMessage::LoadHeartbeat(load) => self.on_agent_heartbeat(now, &load.heartbeat),
+            PeerMessage::Absence(_)
+            | PeerMessage::Departure(_)
+            | PeerMessage::HostListPart(_)
+            | PeerMessage::PeerLoads(_) => Vec::new(),
         }
     }
 
--- a/crates/coordination/src/passthrough/balancer/mod.rs
+++ b/crates/coordination/src/passthrough/balancer/mod.rs
@@ -19,7 +19,7 @@
     super::{
         CatalogueOptions, CatalogueView, FlowCache, HostDirectory, HostDirectoryOptions,
         HostRecord, Lookup, PeerDirectory, PeerDirectoryOptions, ReaderElection,
-        StoreAccessOptions, flow_hash, rendezvous_score,
+        StoreAccessOptions, flow_hash, load::LoadControlOptions, rendezvous_score,
     },
     cardamomloom_core::{ServiceName, Span, Time},
     cardamomloom_protocol::{
@@ -32,6 +32,8 @@
 /// Limits, intervals and timeouts of a balancer.
 #[derive(Clone, Copy, Debug)]
 pub struct BalancerOptions {
+    /// Load control of new flows.
+    pub load_control: LoadControlOptions,
     /// Limits of the catalogue.
     pub catalogue: CatalogueOptions,
     /// Timeouts of the host directory.
@@ -72,6 +74,7 @@
 impl Default for BalancerOptions {
     fn default() -> Self {
         Self {
+            load_control: LoadControlOptions::default(),
             catalogue: CatalogueOptions::default(),
             hosts: HostDirectoryOptions::default(),
             peers: PeerDirectoryOptions::default(),
--- /dev/null
+++ b/crates/coordination/src/passthrough/load/mod.rs
@@ -0,0 +1,11 @@
+//! Load of hosts, and the decisions on new flows that depend on it.
+
+mod options;
+mod view;
+mod work_time;
+
+pub use {
+    options::{LoadControlOptions, PlacementPolicy},
+    view::{ExpectedLoad, LoadView, LoadViewOptions},
+    work_time::WorkTimeEstimator,
+};
--- a/crates/coordination/src/passthrough/mod.rs
+++ b/crates/coordination/src/passthrough/mod.rs
@@ -10,6 +10,7 @@
 mod catalogue;
 mod flow_cache;
 mod hosts;
+pub mod load;
 mod peers;
 mod rendezvous;
 mod spread;
--- a/crates/coordination/tests/passthrough_copies.rs
+++ b/crates/coordination/tests/passthrough_copies.rs
@@ -36,6 +36,8 @@
             }],
             is_idempotent: true,
             priority: 1,
+            latency_goal_ms: 0,
+            timeout_ms: 0,
         }
     };
     CatalogueDocument {
--- a/crates/coordination/tests/passthrough_outdated_catalogue.rs
+++ b/crates/coordination/tests/passthrough_outdated_catalogue.rs
@@ -44,6 +44,8 @@
             }],
             is_idempotent: true,
             priority: 1,
+            latency_goal_ms: 0,
+            timeout_ms: 0,
         }],
         services: Vec::new(),
         idle_timeout_ms: 15_000,
--- a/crates/coordination/tests/passthrough_restored_store.rs
+++ b/crates/coordination/tests/passthrough_restored_store.rs
@@ -52,6 +52,8 @@
                 }],
                 is_idempotent: true,
                 priority: 1,
+                latency_goal_ms: 0,
+                timeout_ms: 0,
             }],
             services: Vec::new(),
             idle_timeout_ms: 12_000,
--- a/crates/coordination/tests/passthrough_route_changes.rs
+++ b/crates/coordination/tests/passthrough_route_changes.rs
@@ -41,6 +41,8 @@
             targets: targets.collect(),
             is_idempotent: false,
             priority: 1,
+            latency_goal_ms: 0,
+            timeout_ms: 0,
         }],
         services: Vec::new(),
         idle_timeout_ms: 15_000,
--- a/crates/protocol/src/passthrough/copy.rs
+++ b/crates/protocol/src/passthrough/copy.rs
@@ -20,7 +20,7 @@
 pub type Result<T> = std::result::Result<T, Error>;
 
 /// Number of the format of encoded copies.
-pub const COPY_FORMAT: u8 = 1;
+pub const COPY_FORMAT: u8 = 2;
 
 /// Largest decompressed size of a copy in bytes. An object of the store has at most 1 MiB, as JSON.
 const MAX_COPY_BYTES: usize = 8 << 20;
--- a/crates/protocol/src/passthrough/document.rs
+++ b/crates/protocol/src/passthrough/document.rs
@@ -97,8 +97,15 @@
     pub targets: Vec<RouteTarget>,
     /// Whether a request of this route may be executed more than once.
     pub is_idempotent: bool,
-    /// Order in which routes are shed under overload; 0 is shed first.
+    /// Order in which routes are served under overload; 0 is served first.
     pub priority: u8,
+    /// Time from the first SYN, or from a request on an open flow, in which a response has its full
+    /// value to the caller; 0 if it is not configured.
+    #[serde(default)]
+    pub latency_goal_ms: u64,
+    /// Time, counted in the same way, after which the caller has given up; 0 if it is not configured.
+    #[serde(default)]
+    pub timeout_ms: u64,
 }
 
 /// A service with its share of the new flows of a route.
--- a/crates/protocol/src/passthrough/header.rs
+++ b/crates/protocol/src/passthrough/header.rs
@@ -14,12 +14,12 @@
 //! | 28 | 1 | number of visited agents |
 //! | 29 | 1 | position of the least loaded agent among the visited ones |
 //! | 30 | 1 | queue excess of its host: requests that wait beyond its slots; 255 if there is none |
-//! | 31 | 1 | flags: bit 0 if copies of the packet were sent to other services; the others are zero |
+//! | 31 | 1 | bit 0: copies of the packet were sent to other services; bit 1: the balancer accepts load heartbeats; bits 2 to 7: code of a [`ServiceWait`] |
 //! | 32 | 16 | IPv4 addresses of the visited agents |
 //! | 48 | 8 | tag: keyed SipHash-2-4 over bytes 0 to 47 and the first 32 bytes of the packet |
 
 use {
-    super::{CatalogueVersion, RunId},
+    super::{CatalogueVersion, RunId, ServiceWait},
     crate::{
         bytes::{be_u32, be_u64},
         forward::{DatagramKey, header_tag},
@@ -44,6 +44,8 @@
 const MAGIC: u16 = 0xca50;
 const VERSION: u8 = 1;
 const COPIES_FLAG: u8 = 1;
+const ACCEPTS_LOAD_FLAG: u8 = 2;
+const SERVICE_WAIT_SHIFT: u32 = 2;
 const TAG_OFFSET: usize = 48;
 const TAGGED_PACKET_BYTES: usize = 32;
 
@@ -105,6 +107,11 @@
     /// Whether the owner of the flow may be a host of another service, so that the balancer looks for
     /// it there too.
     pub has_copies: bool,
+    /// Whether the balancer accepts load heartbeats.
+    pub accepts_load: bool,
+    /// Least expected wait that the balancer knows among the usable hosts of the service. Unknown in a
+    /// SYN that another host may have accepted, so that nobody refuses it.
+    pub service_wait: ServiceWait,
     visited: [Ipv4Addr; MAX_VISITED],
     visited_count: u8,
 }
@@ -129,6 +136,8 @@
                 queue_excess: u8::MAX,
             },
             has_copies: false,
+            accepts_load: false,
+            service_wait: ServiceWait::UNKNOWN,
             visited: [Ipv4Addr::UNSPECIFIED; MAX_VISITED],
             visited_count: 0,
         }
@@ -166,7 +175,13 @@
         header[28] = self.visited_count;
         header[29] = self.least_loaded.position;
         header[30] = self.least_loaded.queue_excess;
-        header[31] = if self.has_copies { COPIES_FLAG } else { 0 };
+        let copies_flag = if self.has_copies { COPIES_FLAG } else { 0 };
+        let load_flag = if self.accepts_load {
+            ACCEPTS_LOAD_FLAG
+        } else {
+            0
+        };
+        header[31] = copies_flag | load_flag | self.service_wait.code() << SERVICE_WAIT_SHIFT;
         for (slot, agent) in header[32..TAG_OFFSET].chunks_exact_mut(4).zip(self.visited) {
             slot.copy_from_slice(&agent.octets());
         }
@@ -224,6 +239,8 @@
                 queue_excess: header[30],
             },
             has_copies: header[31] & COPIES_FLAG != 0,
+            accepts_load: header[31] & ACCEPTS_LOAD_FLAG != 0,
+            service_wait: ServiceWait::from_code(header[31] >> SERVICE_WAIT_SHIFT),
             visited,
             visited_count,
         };
--- a/crates/protocol/src/passthrough/message.rs
+++ b/crates/protocol/src/passthrough/message.rs
@@ -5,7 +5,7 @@
 //! JSON, under the names in their `serde` attributes.
 
 use {
-    super::{CatalogueDocument, CatalogueVersion, DomainStatus, FlowId},
+    super::{CatalogueDocument, CatalogueVersion, DomainStatus, FlowId, LoadHeartbeat, PeerLoads},
     crate::{control::HostState, forward::DatagramKey, sealed},
     cardamomloom_core::{DomainName, ServiceName, error::Error},
     serde::{Deserialize, Serialize},
@@ -273,6 +273,11 @@
     /// Part of the hosts of the receiver's service; sent by a balancer to an agent that requests the
     /// list.
     HostListPart(HostListPart),
+    /// Heartbeat with the load of the host; sent by its agent to a balancer that accepts it.
+    LoadHeartbeat(LoadHeartbeat),
+    /// Loads of hosts of the receiver's service; sent by a balancer to an agent that requests the
+    /// hosts with a [`LoadHeartbeat`].
+    PeerLoads(PeerLoads),
 }
 
 /// State that a balancer serves to processes that are starting or lag behind.
--- a/crates/protocol/src/passthrough/mod.rs
+++ b/crates/protocol/src/passthrough/mod.rs
@@ -4,6 +4,7 @@
 mod copy;
 mod document;
 mod header;
+mod load;
 mod message;
 mod segment;
 
@@ -15,6 +16,7 @@
         StoreRevision,
     },
     header::{LeastLoaded, MAX_VISITED, RELAY_HEADER_BYTES, RelayHeader, RelayKind, ServiceTag},
+    load::{HostLoad, LoadHeartbeat, MAX_PEER_LOADS, PeerLoad, PeerLoads, ServiceWait},
     message::{
         AgentDeparture, AgentHeartbeat, AgentSetDigest, Announcement, BalancerHeartbeat,
         FlowAbsence, FlowOwner, HostAdvertisement, HostListDigest, HostListPart,
--- a/crates/protocol/tests/catalogue_copies.rs
+++ b/crates/protocol/tests/catalogue_copies.rs
@@ -22,6 +22,8 @@
             }],
             is_idempotent: flag,
             priority: 1,
+            latency_goal_ms: 0,
+            timeout_ms: 0,
         }
     })
 }
@@ -130,6 +132,8 @@
                 targets: Vec::new(),
                 is_idempotent: true,
                 priority: 1,
+                latency_goal_ms: 0,
+                timeout_ms: 0,
             };
             1_000
         ],
