--- a/crates/daemon/src/passthrough/agent.rs
+++ b/crates/daemon/src/passthrough/agent.rs
@@ -60,7 +60,10 @@
     };
     let started = runtime.clock.now();
     let mut state = Agent::new(
-        AgentOptions::default(),
+        AgentOptions {
+            load_control: settings.load_control.options(),
+            ..AgentOptions::default()
+        },
         identity,
         &settings.seed_addresses(),
         started,
--- a/crates/daemon/src/passthrough/balancer.rs
+++ b/crates/daemon/src/passthrough/balancer.rs
@@ -50,7 +50,10 @@
     let mut stakker = Stakker::new(Instant::now());
     let seeds = settings.seed_addresses();
     let balancer = Balancer::new(
-        BalancerOptions::default(),
+        BalancerOptions {
+            load_control: settings.load_control.options(),
+            ..BalancerOptions::default()
+        },
         settings.address(),
         &seeds,
         runtime.clock.now(),
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -1,9 +1,13 @@
 //! Settings of the daemon: a JSON file with comments that is validated completely before the
 //! process starts anything.
 
+mod load_control;
 mod pass_through;
 
-pub use pass_through::{Delivery, PassThroughAgentSettings, PassThroughRole, PassThroughSettings};
+pub use {
+    load_control::LoadControlSettings,
+    pass_through::{Delivery, PassThroughAgentSettings, PassThroughRole, PassThroughSettings},
+};
 
 use {
     cardamomloom_core::{
--- a/crates/daemon/src/settings/pass_through.rs
+++ b/crates/daemon/src/settings/pass_through.rs
@@ -1,7 +1,7 @@
 //! Settings of a process with pass-through delivery.
 
 use {
-    super::{LogLevel, Result, key_from_hex},
+    super::{LoadControlSettings, LogLevel, Result, key_from_hex},
     cardamomloom_core::{DomainName, ServiceName, error::invalid_argument},
     cardamomloom_protocol::forward::DatagramKey,
     serde::Deserialize,
@@ -39,6 +39,9 @@
     /// Least severe level that is logged.
     #[serde(default)]
     pub log_level: LogLevel,
+    /// Load control of new flows.
+    #[serde(default)]
+    pub load_control: LoadControlSettings,
     /// Role of the process, with its settings.
     pub role: PassThroughRole,
 }
@@ -124,6 +127,7 @@
                 self.seeds.len()
             )));
         }
+        self.load_control.validate()?;
         match &self.role {
             PassThroughRole::Balancer { linger_ms } if *linger_ms > MAX_LINGER_MS => {
                 Err(invalid_argument(format!(
