Simulation: service time of one host, and options of the balancers

Tests of the load control need hosts that are slower than others, and balancers with load control enabled. Adds the fault Simulation::set_service_time(agent, service_time), which applies to requests that start afterwards, and SimulationOptions::balancer.

Measured: clippy passes on the crate; nothing uses the two yet.

--- a/crates/standins/src/passthrough/host.rs
+++ b/crates/standins/src/passthrough/host.rs
@@ -101,6 +101,11 @@
         self.failure_ratio = ratio;
     }
 
+    /// Sets the processing time of the requests that start from now on.
+    pub const fn set_service_time(&mut self, service_time: Span) {
+        self.options.service_time = service_time;
+    }
+
     /// Returns whether a flow is open, that is, its handshake is complete and it has not ended.
     #[must_use]
     pub fn has_open_flow(&self, flow: &FlowId) -> bool {
--- a/crates/standins/src/passthrough/simulation/faults.rs
+++ b/crates/standins/src/passthrough/simulation/faults.rs
@@ -7,7 +7,7 @@
     },
     cardamomloom_coordination::passthrough::{
         agent::{Agent, AgentIdentity},
-        balancer::{Balancer, BalancerOptions},
+        balancer::Balancer,
     },
     cardamomloom_core::Span,
     cardamomloom_protocol::passthrough::{HostReportState, RunId, StoreEra, StoreRevision},
@@ -39,6 +39,14 @@
         }
     }
 
+    /// Sets the processing time of the requests that the backend server beside an agent starts from
+    /// now on. A restarted backend server has the one of the options again.
+    pub fn set_service_time(&mut self, agent: Ipv4Addr, service_time: Span) {
+        if let Some(server) = self.servers.get_mut(&agent) {
+            server.model.set_service_time(service_time);
+        }
+    }
+
     /// Replaces the backend server beside an agent by a cold one. Unless `reports_at_once`, its
     /// first report is sent when the next one of its predecessor would have been.
     pub fn restart_server(&mut self, agent: Ipv4Addr, reports_at_once: bool) {
@@ -107,7 +115,7 @@
         let generation = self.allocate_generation();
         let seeds = self.seeds();
         let process = BalancerProcess {
-            core: Balancer::new(BalancerOptions::default(), balancer, &seeds, self.now),
+            core: Balancer::new(self.options.balancer, balancer, &seeds, self.now),
             generation,
             is_up: true,
             is_in_rotation: false,
--- a/crates/standins/src/passthrough/simulation/mod.rs
+++ b/crates/standins/src/passthrough/simulation/mod.rs
@@ -15,7 +15,7 @@
     cardamomloom_coordination::passthrough::{
         CopyOutcome, StoreAccess,
         agent::{Agent, AgentOptions},
-        balancer::Balancer,
+        balancer::{Balancer, BalancerOptions},
     },
     cardamomloom_core::{DomainName, Span, Time},
     cardamomloom_protocol::passthrough::{
@@ -61,6 +61,8 @@
     pub seed: u64,
     /// Options of every agent.
     pub agent: AgentOptions,
+    /// Options of every balancer.
+    pub balancer: BalancerOptions,
 }
 
 impl Default for SimulationOptions {
@@ -78,6 +80,7 @@
             link_bytes_per_s: 0,
             seed: 1,
             agent: AgentOptions::default(),
+            balancer: BalancerOptions::default(),
         }
     }
 }
