--- a/crates/coordination/src/passthrough/load/mod.rs
+++ b/crates/coordination/src/passthrough/load/mod.rs
@@ -1,6 +1,7 @@
 //! Load of hosts, and the decisions on new flows that depend on it.
 
 mod options;
+mod round_trips;
 mod view;
 mod work_time;
 
--- a/crates/coordination/src/passthrough/load/options.rs
+++ b/crates/coordination/src/passthrough/load/options.rs
@@ -53,3 +53,12 @@
     /// host of the service can answer within the timeout of the route.
     pub rejects_late_flows: bool,
 }
+
+impl LoadControlOptions {
+    /// Returns whether any decision depends on the loads of hosts, so that agents estimate them and
+    /// processes exchange them.
+    #[must_use]
+    pub const fn uses_loads(&self) -> bool {
+        matches!(self.placement, PlacementPolicy::ExpectedWait) || self.rejects_late_flows
+    }
+}
--- a/crates/coordination/src/passthrough/load/view.rs
+++ b/crates/coordination/src/passthrough/load/view.rs
@@ -1,6 +1,7 @@
 //! What a balancer knows of the loads of hosts.
 
 use {
+    super::{round_trips::RoundTrips, work_time::DEFAULT_WORK_TIME},
     cardamomloom_core::{DomainName, Span, Time},
     cardamomloom_protocol::passthrough::HostLoad,
     std::{collections::BTreeMap, net::Ipv4Addr},
@@ -47,7 +48,7 @@
 pub struct LoadView {
     options: LoadViewOptions,
     entries: BTreeMap<Ipv4Addr, Entry>,
-    round_trips: BTreeMap<DomainName, Span>,
+    round_trips: RoundTrips,
 }
 
 impl LoadView {
@@ -77,10 +78,28 @@
         };
         self.entries.insert(agent, entry);
         if let Some(round_trip) = round_trip {
-            self.round_trips.insert(domain.clone(), round_trip);
+            self.round_trips.record(now, agent, domain, round_trip);
         }
     }
 
+    /// Removes the loads and round trips that are too old.
+    pub fn expire(&mut self, now: Time) {
+        let max_age = self.options.max_age;
+        self.entries
+            .retain(|_, entry| now.since(entry.received) <= max_age);
+        self.round_trips.expire(now);
+    }
+
+    /// Returns the number of hosts whose loads are known.
+    #[must_use]
+    pub fn known(&self, now: Time) -> usize {
+        let max_age = self.options.max_age;
+        let entries = self.entries.values();
+        entries
+            .filter(|entry| now.since(entry.received) <= max_age)
+            .count()
+    }
+
     /// Forgets the load of a host.
     pub fn forget(&mut self, agent: Ipv4Addr) {
         self.entries.remove(&agent);
@@ -106,7 +125,12 @@
             work_ms,
             slots,
         } = entry.load;
-        let placed_ms = u64::from(entry.placed) * u64::from(work_ms) / u64::from(slots.max(1));
+        // Unknown is not idle: flows placed on a host without an estimate cost as usual.
+        let placed_work_ms = match work_ms {
+            0 => DEFAULT_WORK_TIME.as_millis(),
+            known_ms => u64::from(known_ms),
+        };
+        let placed_ms = u64::from(entry.placed) * placed_work_ms / u64::from(slots.max(1));
         Some(ExpectedLoad {
             wait: (wait_ms != HostLoad::TAKES_NO_FLOWS)
                 .then(|| Span::from_millis(u64::from(wait_ms) + placed_ms)),
@@ -115,9 +139,10 @@
         })
     }
 
-    /// Returns the measured round trip to the hosts of a failure domain, or `None` if it is unknown.
+    /// Returns the measured round trip to the hosts of a failure domain, or `None` if it is unknown:
+    /// the median of the recent measurements of different agents. [`Self::expire`] removes old ones.
     #[must_use]
     pub fn round_trip(&self, domain: &DomainName) -> Option<Span> {
-        self.round_trips.get(domain).copied()
+        self.round_trips.median(domain)
     }
 }
