Exchange of the loads of hosts between agents and balancers

Agents estimate the work time and the expected wait of their host from the packets that they relay, and send both with their heartbeats to balancers that set the bit accepts_load. Balancers keep them for 3 s, state the least wait of a service in each relay header (determined again for a SYN after 20 ms), and answer a load heartbeat that asks for hosts with the loads of other hosts, at most 300 bytes/s of them. Agents measure the round trip between such a question and its answer, and balancers take the median by failure domain. All of it is off unless the options need loads.

A balancer that has answered with loads counts as accepting them for 10 s more, like one that has sent a packet with the bit. A packet without the bit that comes straight from a balancer ends this at once, so that a balancer of the previous release loses no heartbeat for longer than until its next packet.

--- a/crates/coordination/src/passthrough/agent/control.rs
+++ b/crates/coordination/src/passthrough/agent/control.rs
@@ -71,6 +71,7 @@
         self.awaits_report = false;
         let Some(host) = &mut self.host else {
             self.host = Some(Host::new(now, report));
+            self.work_times.set_slots(report.slots as usize);
             // The first report of a run shows that no flow is older than this process.
             self.observed_server_start = report.sequence <= 1;
             self.new_server_reported_at = is_new_run(report).then_some(now);
@@ -80,6 +81,7 @@
         };
         let previous_report = host.last_report;
         let outcome = host.on_report(now, report, self.options.report_timeout);
+        self.work_times.set_slots(host.slots as usize);
         match outcome {
             ReportOutcome::Known => return true,
             ReportOutcome::Outdated => {
@@ -198,10 +200,10 @@
                     .retain(|host| host.agent != departure.agent);
                 Vec::new()
             }
+            PeerMessage::PeerLoads(loads) => self.on_peer_loads(now, &loads),
             PeerMessage::Announcement(_)
             | PeerMessage::Heartbeat(_)
-            | PeerMessage::LoadHeartbeat(_)
-            | PeerMessage::PeerLoads(_) => Vec::new(),
+            | PeerMessage::LoadHeartbeat(_) => Vec::new(),
         }
     }
 
@@ -339,6 +341,8 @@
         heartbeat: BalancerHeartbeat,
     ) -> Vec<OutgoingMessage> {
         let added = self.peers.on_heartbeat(now, &heartbeat);
+        self.load_balancers
+            .on_balancer_heartbeat(heartbeat.balancer);
         self.control.last_balancer_contact = Some(now);
         self.catalogue.compare_with_balancer(now, &heartbeat);
         if heartbeat.is_informed && !self.control.has_snapshot {
@@ -372,6 +376,7 @@
         let balancers: Vec<Ipv4Addr> = self.peers.addresses().collect();
         let live: Vec<Ipv4Addr> = self.peers.live(now).collect();
         let announcement = self.announcement(now);
+        let load = self.host_load(now);
         let turn = usize::try_from(self.control.sequence).unwrap_or_default();
         let asked_balancer = live.get(turn % live.len().max(1)).copied();
         let interval = self.announcement_interval();
@@ -390,13 +395,14 @@
                         ..announcement.clone()
                     })
                 } else {
-                    PeerMessage::Heartbeat(AgentHeartbeat {
+                    let heartbeat = AgentHeartbeat {
                         agent: announcement.agent,
                         process: announcement.process,
                         sequence: announcement.sequence,
                         revision: announcement.revision,
                         asks_hosts,
-                    })
+                    };
+                    self.heartbeat_to(now, to, heartbeat, load)
                 };
                 OutgoingMessage { to, message }
             })
--- a/crates/coordination/src/passthrough/agent/flow_upkeep.rs
+++ b/crates/coordination/src/passthrough/agent/flow_upkeep.rs
@@ -25,6 +25,7 @@
                 idle <= options.closed_flow_retention
             }
         });
+        self.expire_requests(now);
     }
 
     /// Determines the addresses that the host holds flows to although the catalogue routes them to
@@ -52,6 +53,7 @@
     /// Resets the flows that were opened before the last report of the previous run. Later ones may
     /// belong to the current run; if they do not, the backend server returns their packets.
     pub(super) fn reset_flows(&mut self, previous_report: Time, actions: &mut Vec<Action>) {
+        self.work_times.reset();
         let lost = self
             .flows
             .extract_if(|entry| entry.is_active() && entry.opened < previous_report);
--- a/crates/coordination/src/passthrough/agent/flows.rs
+++ b/crates/coordination/src/passthrough/agent/flows.rs
@@ -50,6 +50,8 @@
     pub server_sequence: Option<u32>,
     /// Latest acknowledgment of the caller.
     pub caller_acknowledgment: Option<u32>,
+    /// Sequence number after the latest data of the caller, if load control is on.
+    pub caller_sequence: Option<u32>,
     pub has_caller_fin: bool,
     pub has_server_fin: bool,
     /// Whether the caller waits for the backend server: from the SYN, or the first data of a
@@ -74,6 +76,7 @@
             last_used: now,
             server_sequence: None,
             caller_acknowledgment: None,
+            caller_sequence: None,
             has_caller_fin: false,
             has_server_fin: false,
             is_dormant: false,
--- a/crates/coordination/src/passthrough/agent/mod.rs
+++ b/crates/coordination/src/passthrough/agent/mod.rs
@@ -8,6 +8,8 @@
 mod flows;
 mod host;
 mod host_list;
+mod identity;
+mod load;
 mod lookup;
 mod options;
 mod outcomes;
@@ -17,17 +19,19 @@
 
 pub use {
     host::ReportOutcome,
+    identity::AgentIdentity,
+    load::HostLoadSummary,
     options::AgentOptions,
     outcomes::{Outcome, OutcomeOptions, OutcomeTracker},
     syn_queue::{QueuedSyn, SynQueue},
 };
 
 use {
-    super::{CatalogueOptions, CatalogueView, FlowCache, PeerDirectory},
-    cardamomloom_core::{DomainName, ServiceName, Span, Time},
+    super::{CatalogueOptions, CatalogueView, FlowCache, PeerDirectory, load::WorkTimeEstimator},
+    cardamomloom_core::{Span, Time},
     cardamomloom_protocol::passthrough::{
-        FlowAbsence, FlowId, HostAdvertisement, HostReportState, RelayHeader, RelayKind, RunId,
-        Segment, ServiceTag,
+        FlowAbsence, FlowId, HostAdvertisement, HostReportState, RelayHeader, RelayKind, Segment,
+        ServiceTag,
     },
     flows::{FlowTable, LocalFlow, Phase},
     host::{ColdStartBucket, Host},
@@ -36,25 +40,10 @@
     segments::previous_hops,
     std::{
         collections::{BTreeMap, VecDeque},
-        net::{Ipv4Addr, SocketAddrV4},
+        net::Ipv4Addr,
     },
 };
 
-/// Addresses and names of an agent and its host, fixed for one run of the agent.
-#[derive(Clone, Debug)]
-pub struct AgentIdentity {
-    /// Address of the agent.
-    pub address: Ipv4Addr,
-    /// Run of the agent's process.
-    pub process_run: RunId,
-    /// Service of the backend server.
-    pub service: ServiceName,
-    /// Failure domain of the host.
-    pub domain: DomainName,
-    /// Address of the backend server.
-    pub server: SocketAddrV4,
-}
-
 /// Reason for which an agent drops a packet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum DropReason {
@@ -180,6 +169,9 @@
     agents_listed_at: BTreeMap<Ipv4Addr, Time>,
     /// Times from a SYN or a request to the first data of the response.
     response_times: Vec<Span>,
+    work_times: WorkTimeEstimator,
+    load_balancers: load::LoadBalancers,
+    peer_loads: load::PeerLoadTable,
     control: control::ControlState,
 }
 
@@ -219,6 +211,9 @@
             service_hosts: Vec::new(),
             agents_listed_at: BTreeMap::new(),
             response_times: Vec::new(),
+            work_times: WorkTimeEstimator::new(0),
+            load_balancers: load::LoadBalancers::default(),
+            peer_loads: load::PeerLoadTable::default(),
             control: control::ControlState::default(),
             identity,
             options,
@@ -234,6 +229,7 @@
         packet: &[u8],
         actions: &mut Vec<Action>,
     ) {
+        self.track_balancer(now, header);
         if header.service != self.tag {
             actions.push(Action::Drop(DropReason::OtherService));
         } else if segment.is_syn_without_ack() {
@@ -273,6 +269,7 @@
         if self.flows.get(&flow).is_none() {
             self.flows.insert(flow, LocalFlow::new(now, Phase::Open));
         }
+        self.track_response(now, &flow, segment);
         let is_overloaded = self.is_overloaded();
         self.flows.update(&flow, |entry| {
             entry.touch(now);
--- a/crates/coordination/src/passthrough/agent/segments.rs
+++ b/crates/coordination/src/passthrough/agent/segments.rs
@@ -28,6 +28,7 @@
             !segment.flags.is_ack || entry.matches_acknowledgment(segment.acknowledgment)
         });
         if is_local {
+            self.track_request(now, &flow, segment);
             self.flows.update(&flow, |entry| {
                 entry.touch(now);
                 entry.has_caller_fin |= segment.flags.is_fin;
--- a/crates/coordination/src/passthrough/balancer/control.rs
+++ b/crates/coordination/src/passthrough/balancer/control.rs
@@ -91,7 +91,9 @@
         );
         self.peers.expire(now);
         self.control.round += 1;
+        self.expire_loads(now);
         for agent in self.hosts.expire(now) {
+            self.loads.forget(agent);
             if !self.control.host_changes.record() {
                 continue;
             }
@@ -112,7 +114,7 @@
                 self.on_owner(now, owner.flow, owner.agent);
                 Vec::new()
             }
-            PeerMessage::LoadHeartbeat(load) => self.on_agent_heartbeat(now, &load.heartbeat),
+            PeerMessage::LoadHeartbeat(heartbeat) => self.on_load_heartbeat(now, &heartbeat),
             PeerMessage::Absence(_)
             | PeerMessage::Departure(_)
             | PeerMessage::HostListPart(_)
@@ -239,7 +241,11 @@
         self.catalogue
             .observe_version(now, announcement.agent, announcement.catalogue, interval);
         let (agent, run, state) = (announcement.agent, announcement.run, announcement.state);
-        if self.hosts.on_announcement(now, announcement) && self.control.host_changes.record() {
+        let is_changed = self.hosts.on_announcement(now, announcement);
+        if is_changed {
+            self.loads.forget(agent);
+        }
+        if is_changed && self.control.host_changes.record() {
             info!(event = "host_changed", agent:%, life:% = run, standing:? = state; "host is new, or announced a new run, state or service");
         }
         answer
@@ -247,7 +253,7 @@
 
     /// Processes the heartbeat of an agent. An agent whose state is not known is asked for an
     /// announcement.
-    fn on_agent_heartbeat(
+    pub(super) fn on_agent_heartbeat(
         &mut self,
         now: Time,
         agent_heartbeat: &AgentHeartbeat,
--- a/crates/coordination/src/passthrough/balancer/mod.rs
+++ b/crates/coordination/src/passthrough/balancer/mod.rs
@@ -5,6 +5,7 @@
 mod copies;
 mod discovery;
 mod host_list;
+mod load;
 mod outages;
 mod startup_queue;
 
@@ -19,7 +20,9 @@
     super::{
         CatalogueOptions, CatalogueView, FlowCache, HostDirectory, HostDirectoryOptions,
         HostRecord, Lookup, PeerDirectory, PeerDirectoryOptions, ReaderElection,
-        StoreAccessOptions, flow_hash, load::LoadControlOptions, rendezvous_score,
+        StoreAccessOptions, flow_hash,
+        load::{LoadControlOptions, LoadView, LoadViewOptions},
+        rendezvous_score,
     },
     cardamomloom_core::{ServiceName, Span, Time},
     cardamomloom_protocol::{
@@ -158,6 +161,8 @@
     placements: FlowCache<Placement>,
     outages: ServiceOutages,
     reader_election: ReaderElection,
+    loads: LoadView,
+    load_exchange: load::LoadExchange,
     control: control::ControlState,
 }
 
@@ -185,6 +190,8 @@
             ),
             outages: ServiceOutages::new(options.refuse_after),
             reader_election: ReaderElection::new(options.store_access, own_address, now),
+            loads: LoadView::new(LoadViewOptions::default()),
+            load_exchange: load::LoadExchange::default(),
             control: control::ControlState::default(),
             options,
         }
@@ -201,6 +208,7 @@
             Lookup::NoRoute => return self.on_unknown_address(now, segment),
             Lookup::Service(service) => service.clone(),
         };
+        self.refresh_service_wait(now, &service);
         match self.place(now, &flow, segment.acknowledgment, &service) {
             Some(placement) => self.forward_to(placement),
             None => self.on_no_host(now, segment, &service),
@@ -262,12 +270,15 @@
     }
 
     fn header(&self, placement: Placement) -> RelayHeader {
-        RelayHeader::from_balancer(
+        let mut header = RelayHeader::from_balancer(
             self.own_address,
             placement.service,
             self.catalogue.version(),
             placement.run,
-        )
+        );
+        header.accepts_load = self.uses_loads();
+        header.service_wait = self.service_wait(placement.service);
+        header
     }
 
     /// Returns whether a packet that cannot be placed is a SYN that is worth queueing, because this
--- a/crates/standins/src/passthrough/simulation/mod.rs
+++ b/crates/standins/src/passthrough/simulation/mod.rs
@@ -318,6 +318,24 @@
         process.map_or(0, |process| process.core.counts().2)
     }
 
+    /// Returns the state of a running balancer.
+    #[must_use]
+    pub fn balancer(&self, balancer: Ipv4Addr) -> Option<&Balancer> {
+        let process = self.balancers.get(&balancer);
+        process
+            .filter(|process| process.is_up)
+            .map(|process| &process.core)
+    }
+
+    /// Returns the state of a running agent.
+    #[must_use]
+    pub fn agent(&self, agent: Ipv4Addr) -> Option<&Agent> {
+        let process = self.agents.get(&agent);
+        process
+            .filter(|process| process.is_up)
+            .map(|process| &process.core)
+    }
+
     /// Returns the number of open flows of the backend server beside an agent.
     #[must_use]
     pub fn open_flows(&self, agent: Ipv4Addr) -> usize {
