Reset lost flows whose address several services may hold flows to

Cause: a packet whose owner is unknown goes to one agent of each possible service as a marked copy, and a marked copy never started a lookup that ends in a reset. After a loss of power all flows of such addresses waited until their deadline. An agent whose list of agents differed also ended each lookup.

Change: an agent whose lookup of a marked copy is complete states to the balancer that no host of its service holds the flow. The balancer resets the flow when every service that it or a stating agent knows as possible owner has stated so. Agents exchange their lists, with ages, where the digests differ, also ask agents that were listed within the retention, and keep denials over retransmissions. No lookup is decided while a newer catalogue is known. Outcomes are counted.

--- a/crates/coordination/src/passthrough/agent/control.rs
+++ b/crates/coordination/src/passthrough/agent/control.rs
@@ -188,6 +188,11 @@
                 self.on_absence(now, &absence, actions);
                 Vec::new()
             }
+            PeerMessage::AgentListRequest(request) => self.on_list_request(now, request),
+            PeerMessage::AgentList(list) => {
+                self.on_agent_list(now, &list);
+                Vec::new()
+            }
             PeerMessage::HostListPart(part) => {
                 self.on_host_list_part(now, part);
                 Vec::new()
@@ -201,7 +206,8 @@
             PeerMessage::Announcement(_)
             | PeerMessage::Heartbeat(_)
             | PeerMessage::LoadHeartbeat(_)
-            | PeerMessage::PeerLoads(_) => Vec::new(),
+            | PeerMessage::PeerLoads(_)
+            | PeerMessage::ServiceAbsence(_) => Vec::new(),
         }
     }
 
--- a/crates/coordination/src/passthrough/agent/host_list.rs
+++ b/crates/coordination/src/passthrough/agent/host_list.rs
@@ -5,7 +5,7 @@
     cardamomloom_core::Time,
     cardamomloom_protocol::passthrough::{HostAdvertisement, HostListDigest, HostListPart},
     log::warn,
-    std::{collections::BTreeMap, net::Ipv4Addr},
+    std::collections::BTreeMap,
 };
 
 /// Parts of a list of hosts that have arrived.
@@ -42,10 +42,13 @@
     /// Replaces the list of hosts of the service.
     pub(super) fn apply_host_list(&mut self, now: Time, hosts: Vec<HostAdvertisement>) {
         self.control.hosts_digest = HostListDigest::of(&hosts);
-        let agents = |hosts: &[HostAdvertisement]| -> Vec<Ipv4Addr> {
-            hosts.iter().map(|host| host.agent).collect()
-        };
-        if agents(&hosts) != agents(&self.service_hosts) {
+        let retention = self.options.agent_retention;
+        // An agent that is missing in this list is still asked in lookups until the retention is over.
+        let has_new_agent = hosts.iter().any(|host| {
+            let listed_at = self.agents_listed_at.get(&host.agent);
+            listed_at.is_none_or(|at| now.since(*at) > retention)
+        });
+        if has_new_agent {
             self.control.agents_changed_at = now;
         }
         self.service_hosts = hosts;
--- a/crates/coordination/src/passthrough/agent/mod.rs
+++ b/crates/coordination/src/passthrough/agent/mod.rs
@@ -2,6 +2,7 @@
 //! for its host.
 
 mod admission;
+mod agent_lists;
 mod control;
 mod copies;
 mod flow_upkeep;
@@ -23,11 +24,12 @@
 };
 
 use {
-    super::{CatalogueOptions, CatalogueView, FlowCache, PeerDirectory},
+    super::{CatalogueOptions, CatalogueView, FlowCache, LookupOutcomes, PeerDirectory},
+    agent_lists::KnownLists,
     cardamomloom_core::{DomainName, ServiceName, Span, Time},
     cardamomloom_protocol::passthrough::{
         FlowAbsence, FlowId, HostAdvertisement, HostReportState, RelayHeader, RelayKind, RunId,
-        Segment, ServiceTag,
+        Segment, ServiceAbsence, ServiceTag,
     },
     flows::{FlowTable, LocalFlow, Phase},
     host::{ColdStartBucket, Host},
@@ -136,6 +138,18 @@
         /// Next sequence number that the caller expects.
         sequence: u32,
     },
+    /// Informs the balancer that no host of this service holds a flow.
+    ReportServiceAbsence {
+        /// Address of the balancer.
+        to: Ipv4Addr,
+        /// The statement.
+        absence: ServiceAbsence,
+    },
+    /// Requests the list of agents of another agent of the service.
+    RequestAgentList {
+        /// Address of the agent.
+        to: Ipv4Addr,
+    },
     /// Drops the packet without an answer.
     Drop(DropReason),
 }
@@ -174,6 +188,7 @@
     /// Agents that own flows of other hosts.
     owner_cache: FlowCache<Ipv4Addr>,
     lookups: OwnerLookups,
+    known_lists: KnownLists,
     /// Hosts of the service that a balancer listed last.
     service_hosts: Vec<HostAdvertisement>,
     /// Time at which each agent of the service was last listed; kept for a while after it is not.
@@ -216,6 +231,7 @@
             outcomes: OutcomeTracker::new(options.outcomes),
             owner_cache: FlowCache::new(options.owner_cache_capacity, options.owner_cache_ttl),
             lookups: OwnerLookups::default(),
+            known_lists: KnownLists::default(),
             service_hosts: Vec::new(),
             agents_listed_at: BTreeMap::new(),
             response_times: Vec::new(),
@@ -327,7 +343,7 @@
 
     /// Caches the owner of a flow of another host.
     pub fn on_owner(&mut self, now: Time, flow: FlowId, agent: Ipv4Addr) {
-        self.lookups.cancel(&flow);
+        self.lookups.on_owner(now, &flow);
         if agent != self.identity.address {
             self.owner_cache.insert(now, flow, agent);
         }
--- a/crates/coordination/src/passthrough/agent/segments.rs
+++ b/crates/coordination/src/passthrough/agent/segments.rs
@@ -3,12 +3,13 @@
 
 use {
     super::{
-        Action, Agent, DropReason, LocalFlow, Outcome, Phase, close_if_finished,
-        lookup::LookupQuery,
+        Action, Agent, DropReason, LocalFlow, LookupOutcomes, Outcome, Phase, close_if_finished,
+        lookup::{LookupQuery, LookupStep},
     },
     cardamomloom_core::{Span, Time},
     cardamomloom_protocol::passthrough::{
-        AgentSetDigest, FlowAbsence, FlowId, RelayHeader, RelayKind, RunId, Segment,
+        FlowAbsence, FlowId, MAX_POSSIBLE_OWNERS, RelayHeader, RelayKind, RunId, Segment,
+        ServiceAbsence, ServiceTag,
     },
     log::debug,
     std::{collections::BTreeSet, net::Ipv4Addr},
@@ -89,33 +90,15 @@
                 header.relayed_by(self.identity.address, RelayKind::Search, RunId::default())
         {
             let cached_owner = self.owner_cache.touch(now, flow).copied();
-            if cached_owner.is_none()
-                && segment.payload_bytes > 0
-                && !header.has_copies
-                && self.may_reset_unknown(now, flow)
+            if cached_owner.is_none() && segment.payload_bytes > 0 && self.knows_service_agents(now)
             {
-                let query = LookupQuery {
-                    flow: *flow,
-                    acknowledgment: segment.acknowledgment,
-                    known_agents: self.known_agents(),
-                    asked_agents: self
-                        .agents_listed_at
-                        .keys()
-                        .copied()
-                        .chain([own_address])
-                        .collect(),
-                    requires_new_servers: now.since(self.started) <= self.options.agent_retention,
-                };
-                debug!(
-                    event = "lookup_started", flow:%, asked_agents = query.asked_agents.len(),
-                    requires_new_servers = query.requires_new_servers;
-                    "owner of a flow is looked up"
-                );
-                self.lookups.start(now, query);
+                self.start_lookup(now, &header, segment);
+                if !self.knows_former_agents(now) {
+                    actions.extend(self.request_any_list(now));
+                }
             }
-            let all_agents = self.service_hosts.iter().map(|host| host.agent);
             let receivers = cached_owner
-                .map_or_else(|| all_agents.collect(), |owner| vec![owner])
+                .map_or_else(|| self.possible_owners(), |owner| vec![owner])
                 .into_iter()
                 .filter(|agent| *agent != own_address);
             actions.extend(receivers.map(|to| Action::Relay { to, header }));
@@ -137,7 +120,65 @@
         if self.owner_cache.touch(now, &absence.flow).copied() == Some(absence.agent) {
             self.owner_cache.remove(&absence.flow);
         }
-        actions.extend(self.lookups.on_absence(now, absence));
+        match self.lookups.on_absence(now, absence, &self.known_lists) {
+            LookupStep::Pending => {}
+            LookupStep::Lost => actions.push(Action::Reset {
+                flow: absence.flow,
+                sequence: absence.acknowledgment,
+            }),
+            LookupStep::ServiceLost(to) => {
+                let absence = self.service_absence(now, absence);
+                actions.extend(absence.map(|absence| Action::ReportServiceAbsence { to, absence }));
+            }
+            LookupStep::NeedsList => actions.extend(self.request_list(now, absence.agent)),
+        }
+    }
+
+    /// Returns the numbers of owner lookups by outcome.
+    #[must_use]
+    pub const fn lookup_outcomes(&self) -> &LookupOutcomes {
+        &self.lookups.outcomes
+    }
+
+    /// Starts the lookup of the owner of a flow. Unless this service is the only one that may own it, a
+    /// result goes to the balancer, which knows the other services.
+    fn start_lookup(&mut self, now: Time, header: &RelayHeader, segment: &Segment) {
+        let flow = segment.flow_from_caller();
+        let is_only_owner = !header.has_copies
+            && self
+                .catalogue
+                .is_only_owner(now, flow.service, &self.identity.service);
+        let query = LookupQuery {
+            flow,
+            acknowledgment: segment.acknowledgment,
+            asked: self.asked_agents(),
+            requires_new_servers: !self.knows_former_agents(now),
+            answer_to: (!is_only_owner).then_some(header.balancer),
+        };
+        debug!(
+            event = "lookup_started", flow:%, asked_agents = query.asked.agents.len(),
+            requires_new_servers = query.requires_new_servers;
+            "owner of a flow is looked up"
+        );
+        self.lookups.start(now, query);
+    }
+
+    /// Returns the statement that no host of the service holds a flow, unless more services may own it
+    /// than the statement can name.
+    fn service_absence(&self, now: Time, absence: &FlowAbsence) -> Option<ServiceAbsence> {
+        let address = absence.flow.service;
+        let possible_owners: BTreeSet<ServiceTag> = self
+            .catalogue
+            .possible_owners(now, address)
+            .map(ServiceTag::from)
+            .collect();
+        (possible_owners.len() <= MAX_POSSIBLE_OWNERS).then(|| ServiceAbsence {
+            flow: absence.flow,
+            acknowledgment: absence.acknowledgment,
+            agent: self.identity.address,
+            service: self.tag,
+            possible_owners: possible_owners.into_iter().collect(),
+        })
     }
 
     /// Appends the statement that this host does not hold a flow, for the agent that looks it up.
@@ -154,7 +195,7 @@
             flow,
             acknowledgment,
             agent: own_address,
-            known_agents: self.known_agents(),
+            known_agents: self.asked_agents().agents.into_iter().collect(),
             is_server_new: self
                 .new_server_reported_at
                 .max(self.absent_server_at)
@@ -170,34 +211,32 @@
         }
     }
 
-    /// Returns the digest of the agents of the service that balancers list, and of this agent.
-    fn known_agents(&self) -> AgentSetDigest {
-        let agents = self.service_hosts.iter().map(|host| host.agent);
-        let distinct: BTreeSet<Ipv4Addr> = agents.chain([self.identity.address]).collect();
-        distinct.into_iter().collect()
-    }
-
-    /// Returns whether a flow may be reset when all known agents state that their hosts do not hold
-    /// it: this agent knows all agents of the service, and no other service can hold the flow.
+    /// Returns whether this agent knows all agents of the service, so that the statements of all of
+    /// them prove that no host of the service holds a flow, and no newer catalogue.
     ///
-    /// The list of agents must have been unchanged for as long as an agent may take to announce itself
-    /// to restarted balancers.
-    fn may_reset_unknown(&self, now: Time, flow: &FlowId) -> bool {
-        let settle_span = self
-            .options
-            .min_settle_span
-            .max(Span(self.announcement_interval().0 * 6 / 5));
-        let is_recent = self
-            .control
-            .last_balancer_contact
-            .is_some_and(|at| now.since(at) <= settle_span);
-        is_recent
+    /// No new agent may have been listed for as long as an agent may take to announce itself to
+    /// restarted balancers.
+    fn knows_service_agents(&self, now: Time) -> bool {
+        let settle_span = self.settle_span();
+        self.has_recent_contact(now)
             && now.since(self.started) >= settle_span
             && now.since(self.control.agents_changed_at) >= settle_span
             && !self.service_hosts.is_empty()
-            && self
-                .catalogue
-                .is_only_owner(now, flow.service, &self.identity.service)
+            && self.catalogue.behind_for(now).is_none()
+    }
+
+    /// Returns whether a balancer has sent a heartbeat within the time in which one is due.
+    pub(super) fn has_recent_contact(&self, now: Time) -> bool {
+        let settle_span = self.settle_span();
+        self.control
+            .last_balancer_contact
+            .is_some_and(|at| now.since(at) <= settle_span)
+    }
+
+    fn settle_span(&self) -> Span {
+        let announcement_interval = self.announcement_interval();
+        let span = Span(announcement_interval.0 * 6 / 5);
+        self.options.min_settle_span.max(span)
     }
 
     /// Returns whether the backend server may hold flows that this process does not know, because
--- a/crates/coordination/src/passthrough/balancer/control.rs
+++ b/crates/coordination/src/passthrough/balancer/control.rs
@@ -79,6 +79,7 @@
     /// hosts and returns the heartbeats to send.
     pub fn on_tick(&mut self, now: Time) -> Vec<OutgoingMessage> {
         self.hosts.on_tick(now);
+        self.lost_flows.expire(now);
         self.log_host_changes(now);
         self.catalogue.log_behind(now);
         if now < self.control.next_heartbeat {
@@ -113,10 +114,16 @@
                 Vec::new()
             }
             PeerMessage::LoadHeartbeat(load) => self.on_agent_heartbeat(now, &load.heartbeat),
+            PeerMessage::ServiceAbsence(absence) => {
+                self.on_service_absence(now, &absence);
+                Vec::new()
+            }
             PeerMessage::Absence(_)
             | PeerMessage::Departure(_)
             | PeerMessage::HostListPart(_)
-            | PeerMessage::PeerLoads(_) => Vec::new(),
+            | PeerMessage::PeerLoads(_)
+            | PeerMessage::AgentListRequest(_)
+            | PeerMessage::AgentList(_) => Vec::new(),
         }
     }
 
--- a/crates/coordination/src/passthrough/balancer/mod.rs
+++ b/crates/coordination/src/passthrough/balancer/mod.rs
@@ -5,12 +5,14 @@
 mod copies;
 mod discovery;
 mod host_list;
+mod lost_flows;
 mod outages;
 mod startup_queue;
 
 pub use {
     control::{BalancerSummary, HostSummary},
     copies::SnapshotContent,
+    lost_flows::LostFlow,
     outages::ServiceOutages,
     startup_queue::StartupQueue,
 };
@@ -26,7 +28,7 @@
         control::HostState,
         passthrough::{FlowId, RelayHeader, RunId, Segment, ServiceTag},
     },
-    std::{collections::BTreeSet, net::Ipv4Addr},
+    std::net::Ipv4Addr,
 };
 
 /// Limits, intervals and timeouts of a balancer.
@@ -157,6 +159,7 @@
     peers: PeerDirectory,
     placements: FlowCache<Placement>,
     outages: ServiceOutages,
+    lost_flows: lost_flows::LostFlows,
     reader_election: ReaderElection,
     control: control::ControlState,
 }
@@ -184,6 +187,7 @@
                 options.min_placement_cache_ttl,
             ),
             outages: ServiceOutages::new(options.refuse_after),
+            lost_flows: lost_flows::LostFlows::default(),
             reader_election: ReaderElection::new(options.store_access, own_address, now),
             control: control::ControlState::default(),
             options,
@@ -193,9 +197,10 @@
     /// Decides what to do with a packet of a caller.
     pub fn on_packet(&mut self, now: Time, segment: &Segment) -> ForwardingDecision {
         if !segment.is_syn_without_ack() {
-            return self.on_open_flow(now, &segment.flow_from_caller());
+            return self.on_open_flow(now, segment);
         }
         let flow = segment.flow_from_caller();
+        self.lost_flows.remove(&flow);
         let service = match self.catalogue.lookup(&flow) {
             Lookup::NoCatalogue => return ForwardingDecision::Drop(DropReason::NoCatalogue),
             Lookup::NoRoute => return self.on_unknown_address(now, segment),
@@ -209,7 +214,8 @@
 
     /// Forwards a packet of an open flow to its owner. Only the existence of the route counts here: the
     /// targets of the present catalogue apply to new flows.
-    fn on_open_flow(&mut self, now: Time, flow: &FlowId) -> ForwardingDecision {
+    fn on_open_flow(&mut self, now: Time, segment: &Segment) -> ForwardingDecision {
+        let flow = &segment.flow_from_caller();
         if self.catalogue.document().is_none() {
             return ForwardingDecision::Drop(DropReason::NoCatalogue);
         }
@@ -218,19 +224,16 @@
         }
         match self.cached_owner(now, flow) {
             Some(placement) => self.forward_to(placement),
-            None => self.forward_to_possible_owners(now, flow),
+            None => self.forward_to_possible_owners(now, segment),
         }
     }
 
     /// Forwards a packet of an open flow to the preferred host of each service that may own the flow.
     /// The agents that receive it look up the owner among the hosts of their service.
-    fn forward_to_possible_owners(&self, now: Time, flow: &FlowId) -> ForwardingDecision {
-        let services: BTreeSet<&ServiceName> = self
-            .catalogue
-            .possible_owners(now, flow.service)
-            .chain(self.hosts.services_of_rerouted(now, flow.service))
-            .collect();
-        let hash = flow_hash(flow);
+    fn forward_to_possible_owners(&mut self, now: Time, segment: &Segment) -> ForwardingDecision {
+        let services = self.possible_owners(now, segment.destination);
+        let is_shared = services.len() > 1;
+        let hash = flow_hash(&segment.flow_from_caller());
         let mut copies: Vec<(Ipv4Addr, RelayHeader)> = services
             .iter()
             .filter_map(|service| self.hosts.preferred_host(now, service, hash))
@@ -240,10 +243,13 @@
                     ..to_placement(record)
                 };
                 let mut header = self.header(placement);
-                header.has_copies = services.len() > 1;
+                header.has_copies = is_shared;
                 (placement.agent, header)
             })
             .collect();
+        if is_shared {
+            self.on_copied_packet(now, segment);
+        }
         match copies.len() {
             0 => ForwardingDecision::Drop(DropReason::NoHost),
             1 => {
@@ -289,6 +295,7 @@
 
     /// Caches the owner of a flow.
     pub fn on_owner(&mut self, now: Time, flow: FlowId, agent: Ipv4Addr) {
+        self.lost_flows.on_owner(now, &flow);
         let placement = match (self.hosts.get(agent), self.catalogue.lookup(&flow)) {
             (Some(record), _) => to_placement(record),
             (None, Lookup::Service(service)) => Placement {
--- a/crates/coordination/src/passthrough/mod.rs
+++ b/crates/coordination/src/passthrough/mod.rs
@@ -11,6 +11,7 @@
 mod flow_cache;
 mod hosts;
 pub mod load;
+mod lookup_outcomes;
 mod peers;
 mod rendezvous;
 mod spread;
@@ -24,6 +25,7 @@
     catalogue::{CatalogueOptions, CatalogueView, Lookup},
     flow_cache::FlowCache,
     hosts::{HostDirectory, HostDirectoryOptions, HostRecord},
+    lookup_outcomes::{LookupOutcome, LookupOutcomes},
     peers::{PeerDirectory, PeerDirectoryOptions},
     rendezvous::{flow_hash, rendezvous_score},
     spread::{
--- a/crates/daemon/src/passthrough/agent.rs
+++ b/crates/daemon/src/passthrough/agent.rs
@@ -19,7 +19,10 @@
     cardamomloom_platform::packet::PlatformPackets,
     cardamomloom_protocol::{
         forward::DatagramKey,
-        passthrough::{FlowOwner, PacketFormat, RelayHeader, RelayKind, RunId, Segment},
+        passthrough::{
+            AgentListRequest, FlowOwner, PacketFormat, PeerMessage, RelayHeader, RelayKind, RunId,
+            Segment,
+        },
     },
     cardamomloom_transport::udp::{ReceiveBatch, SendBatch},
     log::info,
@@ -362,6 +365,7 @@
         metrics::gauge!("cardamomloom_open_flows").set(open_flows as f64);
         metrics::gauge!("cardamomloom_held_openings").set(self.agent.queued_syns() as f64);
         let outcomes = self.agent.outcomes();
+        super::publish_lookups(self.agent.lookup_outcomes());
         let (answered, failed) = outcomes.totals();
         metrics::counter!("cardamomloom_outcomes_total", "outcome" => "answered")
             .absolute(answered);
@@ -398,7 +402,17 @@
                         agent: *self.own_address.ip(),
                     },
                 ),
-                Action::ReportAbsence { to, absence } => control.send_absence(to, absence),
+                Action::ReportAbsence { to, absence } => {
+                    control.send_one(to, PeerMessage::Absence(absence));
+                }
+                Action::ReportServiceAbsence { to, absence } => {
+                    control.send_one(to, PeerMessage::ServiceAbsence(absence));
+                }
+                Action::RequestAgentList { to } => {
+                    let agent = *self.own_address.ip();
+                    let request = AgentListRequest { agent };
+                    control.send_one(to, PeerMessage::AgentListRequest(request));
+                }
                 Action::Reset { flow, sequence } => {
                     metrics::counter!("cardamomloom_resets_total").increment(1);
                     let to = SocketAddrV4::new(*flow.caller.ip(), self.data_port);
@@ -417,7 +431,9 @@
         let limiter = match action {
             Action::ReturnToCaller { .. }
             | Action::AnnounceOwner { .. }
-            | Action::ReportAbsence { .. } => return,
+            | Action::ReportAbsence { .. }
+            | Action::ReportServiceAbsence { .. }
+            | Action::RequestAgentList { .. } => return,
             // An owner lookup reaches every agent of a service, and at most one owns the flow.
             Action::Deliver | Action::DeliverBuffered(_) | Action::Drop(DropReason::NotOwner) => {
                 &mut self.sample_log
@@ -460,7 +476,9 @@
             ),
             Action::ReturnToCaller { .. }
             | Action::AnnounceOwner { .. }
-            | Action::ReportAbsence { .. } => {}
+            | Action::ReportAbsence { .. }
+            | Action::ReportServiceAbsence { .. }
+            | Action::RequestAgentList { .. } => {}
         }
     }
 
--- a/crates/daemon/src/passthrough/balancer.rs
+++ b/crates/daemon/src/passthrough/balancer.rs
@@ -13,7 +13,7 @@
     cardamomloom_coordination::passthrough::{
         OutgoingMessage,
         balancer::{
-            Balancer, BalancerOptions, DropReason, ForwardingDecision, SnapshotContent,
+            Balancer, BalancerOptions, DropReason, ForwardingDecision, LostFlow, SnapshotContent,
             StartupQueue,
         },
     },
@@ -112,6 +112,7 @@
                     let answers = self.balancer.on_message(now, message);
                     self.send(answers);
                 }
+                self.reset_lost_flows(now);
                 self.update_runtime(now);
             }
             Event::Catalogue(document) => {
@@ -287,6 +288,23 @@
         self.outbox.push(to, &reset, &[]);
     }
 
+    /// Resets the flows that no service holds any more.
+    fn reset_lost_flows(&mut self, now: Time) {
+        for LostFlow { flow, sequence } in self.balancer.take_lost_flows() {
+            metrics::counter!("cardamomloom_resets_total").increment(1);
+            if self.caller_visible_log.try_acquire(now) {
+                info!(
+                    event = "flow_reset", flow:%, sequence;
+                    "reset sent to the caller: no host of any service holds the flow any more"
+                );
+            }
+            let to = SocketAddrV4::new(*flow.caller.ip(), self.data_port);
+            let reset = self.format.encode(&Segment::reset(&flow, sequence), &[]);
+            self.outbox.push(to, &reset, &[]);
+        }
+        self.flush();
+    }
+
     fn drop_packet(&mut self, now: Time, segment: &Segment, reason: DropReason) {
         metrics::counter!("cardamomloom_dropped_packets_total", "cause" => reason.label())
             .increment(1);
@@ -323,6 +341,7 @@
             .set_store_access(access, self.balancer.confirmed_ago(now));
         self.runtime.set_store_era(self.balancer.store_era());
         NodeRuntime::publish_catalogue_lag(self.balancer.behind_for(now));
+        super::publish_lookups(self.balancer.lookup_outcomes());
         self.runtime
             .peers
             .fetch_snapshot(SnapshotContent::WithoutCatalogue, || {
--- a/crates/daemon/src/passthrough/mod.rs
+++ b/crates/daemon/src/passthrough/mod.rs
@@ -16,6 +16,7 @@
 
 use {
     crate::settings::{PassThroughRole, PassThroughSettings},
+    cardamomloom_coordination::passthrough::LookupOutcomes,
     cardamomloom_core::error::{Error, io},
     log::info,
     std::path::Path,
@@ -54,3 +55,10 @@
     info!(event = "stopped"; "process stopped");
     outcome
 }
+
+/// Publishes the numbers of owner lookups by outcome.
+fn publish_lookups(outcomes: &LookupOutcomes) {
+    for (outcome, count) in outcomes.totals() {
+        metrics::counter!("cardamomloom_lookups_total", "outcome" => outcome).absolute(count);
+    }
+}
--- a/crates/daemon/src/passthrough/node.rs
+++ b/crates/daemon/src/passthrough/node.rs
@@ -22,8 +22,8 @@
     cardamomloom_protocol::{
         forward::DatagramKey,
         passthrough::{
-            CatalogueDocument, CatalogueVersion, DomainStatus, FlowAbsence, FlowOwner, HostReport,
-            PeerMessage, Registration, Snapshot, StoreEra, open, seal,
+            CatalogueDocument, CatalogueVersion, DomainStatus, FlowOwner, HostReport, PeerMessage,
+            Registration, Snapshot, StoreEra, open, seal,
         },
     },
     cardamomloom_transport::{clock::MonotonicClock, udp::ReceiveBatch},
@@ -335,12 +335,9 @@
         }]);
     }
 
-    /// Informs an agent that the host of this agent does not hold a flow.
-    pub fn send_absence(&self, to: Ipv4Addr, absence: FlowAbsence) {
-        self.send(vec![OutgoingMessage {
-            to,
-            message: PeerMessage::Absence(absence),
-        }]);
+    /// Sends a message to one process.
+    pub fn send_one(&self, to: Ipv4Addr, message: PeerMessage) {
+        self.send(vec![OutgoingMessage { to, message }]);
     }
 }
 
--- a/crates/protocol/src/passthrough/header.rs
+++ b/crates/protocol/src/passthrough/header.rs
@@ -28,6 +28,7 @@
         ServiceName,
         error::{Error, malformed},
     },
+    serde::{Deserialize, Serialize},
     siphasher::sip::SipHasher24,
     std::{hash::Hasher, net::Ipv4Addr},
 };
@@ -53,7 +54,8 @@
 ///
 /// If two services of a catalogue have equal tags, the agent's check of the destination address
 /// rejects packets of the wrong service.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
 pub struct ServiceTag(pub u32);
 
 impl From<&ServiceName> for ServiceTag {
--- a/crates/protocol/src/passthrough/message.rs
+++ b/crates/protocol/src/passthrough/message.rs
@@ -5,7 +5,10 @@
 //! JSON, under the names in their `serde` attributes.
 
 use {
-    super::{CatalogueDocument, CatalogueVersion, DomainStatus, FlowId, LoadHeartbeat, PeerLoads},
+    super::{
+        AgentList, AgentListRequest, CatalogueDocument, CatalogueVersion, DomainStatus, FlowId,
+        LoadHeartbeat, PeerLoads, ServiceAbsence,
+    },
     crate::{control::HostState, forward::DatagramKey, sealed},
     cardamomloom_core::{DomainName, ServiceName, error::Error},
     serde::{Deserialize, Serialize},
@@ -278,6 +281,13 @@
     /// Loads of hosts of the receiver's service; sent by a balancer to an agent that requests the
     /// hosts with a [`LoadHeartbeat`].
     PeerLoads(PeerLoads),
+    /// States that no host of a service holds a flow; sent by the agent that looked up the owner to
+    /// the balancer that sent it the packet.
+    ServiceAbsence(ServiceAbsence),
+    /// Requests the list of agents of another agent of the service.
+    AgentListRequest(AgentListRequest),
+    /// List of agents; sent to the agent that requested it.
+    AgentList(AgentList),
 }
 
 /// State that a balancer serves to processes that are starting or lag behind.
--- a/crates/protocol/src/passthrough/mod.rs
+++ b/crates/protocol/src/passthrough/mod.rs
@@ -5,6 +5,7 @@
 mod document;
 mod header;
 mod load;
+mod lost_flows;
 mod message;
 mod segment;
 
@@ -17,6 +18,10 @@
     },
     header::{LeastLoaded, MAX_VISITED, RELAY_HEADER_BYTES, RelayHeader, RelayKind, ServiceTag},
     load::{HostLoad, LoadHeartbeat, MAX_PEER_LOADS, PeerLoad, PeerLoads, ServiceWait},
+    lost_flows::{
+        AgentList, AgentListRequest, ListedAgent, MAX_LISTED_AGENTS, MAX_POSSIBLE_OWNERS,
+        ServiceAbsence,
+    },
     message::{
         AgentDeparture, AgentHeartbeat, AgentSetDigest, Announcement, BalancerHeartbeat,
         FlowAbsence, FlowOwner, HostAdvertisement, HostListDigest, HostListPart,
--- a/crates/standins/src/passthrough/simulation/events.rs
+++ b/crates/standins/src/passthrough/simulation/events.rs
@@ -3,18 +3,21 @@
 use {
     super::{
         Caller, CallerOptions, CallerOutcome, Event, PROBE_INTERVAL, RECOVERY_BOUND,
-        REPORT_INTERVAL, ServerEvent, Simulation, TICK_INTERVAL, TestPacketFormat, server_address,
-        service_name, service_route,
+        REPORT_INTERVAL, Server, ServerEvent, Simulation, TICK_INTERVAL, TestPacketFormat,
+        server_address, service_name, service_route,
     },
     cardamomloom_coordination::passthrough::{
-        OutgoingMessage, StoreAccess, agent::Action, balancer::ForwardingDecision, flow_hash,
+        OutgoingMessage, StoreAccess,
+        agent::Action,
+        balancer::{ForwardingDecision, LostFlow},
+        flow_hash,
     },
     cardamomloom_core::{Span, Time},
     cardamomloom_protocol::{
         forward::DatagramKey,
         passthrough::{
-            FlowId, FlowOwner, HostReport, HostReportState, PacketFormat, PeerMessage, RelayHeader,
-            Segment, seal,
+            AgentListRequest, FlowId, FlowOwner, HostReport, HostReportState, PacketFormat,
+            PeerMessage, RelayHeader, Segment, seal,
         },
     },
     rand::RngExt,
@@ -24,6 +27,9 @@
 /// Key that seals control messages; only the length of the sealed datagrams is used.
 const KEY: DatagramKey = DatagramKey([7; 16]);
 
+/// Longest additional delay of a late packet or control message.
+const MAX_LATENESS: Span = Span::from_millis(800);
+
 impl Simulation {
     /// Handles an event at its time.
     pub(super) fn handle(&mut self, event: Event) {
@@ -50,8 +56,9 @@
             Event::ToCaller(packet) => self.on_packet_at_caller(&packet),
             Event::CallerTimer(flow) => self.on_caller_timer(flow),
             Event::ServerTimer(agent) => {
-                let Some(server) = self.servers.get_mut(&agent).filter(|server| server.is_up)
-                else {
+                let is_running =
+                    |server: &&mut Server| server.is_up && server.frozen_packets.is_none();
+                let Some(server) = self.servers.get_mut(&agent).filter(is_running) else {
                     return;
                 };
                 let responses = server.model.on_timer(self.now);
@@ -110,16 +117,16 @@
         };
         match process.core.on_packet(self.now, &segment) {
             ForwardingDecision::Forward { to, header } => {
-                self.send(Event::ToAgent(to, header, packet));
+                self.send_between(balancer, to, Event::ToAgent(to, header, packet));
             }
             ForwardingDecision::ForwardCopies(copies) => {
                 for (to, header) in copies {
-                    self.send(Event::ToAgent(to, header, packet.clone()));
+                    let event = Event::ToAgent(to, header, packet.clone());
+                    self.send_between(balancer, to, event);
                 }
             }
             ForwardingDecision::Refuse(_) => {
-                let reset = Segment::reset(&segment.flow_from_caller(), 0);
-                self.send(Event::ToCaller(TestPacketFormat.encode(&reset, &[])));
+                self.send_reset(&segment.flow_from_caller(), 0);
             }
             ForwardingDecision::Drop(_) => {}
         }
@@ -149,7 +156,11 @@
             .filter(|process| !(process.is_partitioned && is_heartbeat))
         {
             let answers = process.core.on_message(self.now, message);
+            let lost_flows = process.core.take_lost_flows();
             self.send_control(to, answers);
+            for LostFlow { flow, sequence } in lost_flows {
+                self.send_reset(&flow, sequence);
+            }
         } else if let Some(process) = self.agents.get_mut(&to).filter(|process| process.is_up) {
             let mut actions = Vec::new();
             let answers = process.core.on_message(self.now, message, &mut actions);
@@ -258,7 +269,8 @@
     /// Delivers a report of the backend server beside an agent to the agent, and sends the control
     /// messages that result from it.
     pub(super) fn report(&mut self, agent: Ipv4Addr) {
-        let Some(server) = self.servers.get_mut(&agent).filter(|server| server.is_up) else {
+        let is_running = |server: &&mut Server| server.is_up && server.frozen_packets.is_none();
+        let Some(server) = self.servers.get_mut(&agent).filter(is_running) else {
             return;
         };
         let Some(process) = self.agents.get_mut(&agent).filter(|process| process.is_up) else {
@@ -312,31 +324,43 @@
                 Action::DeliverBuffered(packet) => self.on_packet_at_server(agent, &packet),
                 Action::ReturnToCaller { .. } => self.send(Event::ToCaller(packet.to_vec())),
                 Action::Relay { to, header } => {
-                    self.send(Event::ToAgent(to, header, packet.to_vec()));
+                    self.send_between(agent, to, Event::ToAgent(to, header, packet.to_vec()));
                 }
                 Action::RelayBuffered { to, header, packet } => {
-                    self.send(Event::ToAgent(to, header, packet.into_vec()));
+                    let event = Event::ToAgent(to, header, packet.into_vec());
+                    self.send_between(agent, to, event);
                 }
                 Action::AnnounceOwner { to, flow } => {
                     let owner = FlowOwner { flow, agent };
-                    self.send(Event::ControlMessage(to, PeerMessage::Owner(owner)));
+                    let event = Event::ControlMessage(to, PeerMessage::Owner(owner));
+                    self.send_between(agent, to, event);
                 }
                 Action::ReportAbsence { to, absence } => {
-                    self.send(Event::ControlMessage(to, PeerMessage::Absence(absence)));
+                    let event = Event::ControlMessage(to, PeerMessage::Absence(absence));
+                    self.send_between(agent, to, event);
                 }
-                Action::Reset { flow, sequence } => {
-                    let reset = Segment::reset(&flow, sequence);
-                    self.send(Event::ToCaller(TestPacketFormat.encode(&reset, &[])));
+                Action::ReportServiceAbsence { to, absence } => {
+                    let message = PeerMessage::ServiceAbsence(absence);
+                    self.send_between(agent, to, Event::ControlMessage(to, message));
                 }
+                Action::RequestAgentList { to } => {
+                    let message = PeerMessage::AgentListRequest(AgentListRequest { agent });
+                    self.send_between(agent, to, Event::ControlMessage(to, message));
+                }
+                Action::Reset { flow, sequence } => self.send_reset(&flow, sequence),
                 Action::Drop(_) => {}
             }
         }
     }
 
-    fn on_packet_at_server(&mut self, agent: Ipv4Addr, packet: &[u8]) {
+    pub(super) fn on_packet_at_server(&mut self, agent: Ipv4Addr, packet: &[u8]) {
         let Some(server) = self.servers.get_mut(&agent).filter(|server| server.is_up) else {
             return;
         };
+        if let Some(frozen_packets) = &mut server.frozen_packets {
+            frozen_packets.push(packet.to_vec());
+            return;
+        }
         let Some(segment) = TestPacketFormat.parse(packet) else {
             return;
         };
@@ -420,17 +444,33 @@
         for OutgoingMessage { to, message } in outgoing {
             let datagram = seal(KEY, &message).expect("the control message fits into a datagram");
             *self.control_bytes.entry(from).or_default() += datagram.len();
-            self.send(Event::ControlMessage(to, message));
+            self.send_between(from, to, Event::ControlMessage(to, message));
         }
     }
 
+    fn send_reset(&mut self, flow: &FlowId, sequence: u32) {
+        let reset = Segment::reset(flow, sequence);
+        self.send(Event::ToCaller(TestPacketFormat.encode(&reset, &[])));
+    }
+
     /// Schedules the arrival of a packet or control message after a random delay, or loses it.
-    fn send(&mut self, event: Event) {
+    pub(super) fn send(&mut self, event: Event) {
         if self.options.packet_loss > 0.0 && self.random.random_bool(self.options.packet_loss) {
             return;
         }
         let delay = self.options.delay.0;
         let delay = Span(self.random.random_range(delay..=delay + delay / 2));
+        let disorder = self.options.disorder;
+        if disorder > 0.0 && self.random.random_bool(disorder) {
+            // A duplicate arrives late; so does the packet itself in half of the cases.
+            let late = Span(delay.0 + self.random.random_range(0..MAX_LATENESS.0));
+            if let Some(duplicate) = event.duplicate() {
+                self.schedule(late, duplicate);
+            }
+            let is_late = self.random.random_bool(0.5);
+            self.schedule(if is_late { late } else { delay }, event);
+            return;
+        }
         self.schedule(delay, event);
     }
 }
--- a/crates/standins/src/passthrough/simulation/faults.rs
+++ b/crates/standins/src/passthrough/simulation/faults.rs
@@ -170,4 +170,53 @@
         status.era = status.era.map(|era| StoreEra(era.0 + 1));
         status.revision = StoreRevision(1);
     }
+
+    /// Sets whether everything that two processes send to each other is lost.
+    pub fn set_link_cut(&mut self, a: Ipv4Addr, b: Ipv4Addr, is_cut: bool) {
+        self.last_disruption = self.now;
+        let link = (a.min(b), a.max(b));
+        if is_cut {
+            self.cut_links.insert(link);
+        } else {
+            self.cut_links.remove(&link);
+        }
+    }
+
+    /// Freezes the backend server beside an agent: it reports nothing and answers nothing. When it
+    /// goes on, it processes the packets that have arrived since.
+    pub fn set_server_frozen(&mut self, agent: Ipv4Addr, is_frozen: bool) {
+        self.last_disruption = self.now;
+        let Some(server) = self.servers.get_mut(&agent).filter(|server| server.is_up) else {
+            return;
+        };
+        if is_frozen {
+            server.frozen_packets.get_or_insert_default();
+            return;
+        }
+        let packets = server.frozen_packets.take().unwrap_or_default();
+        for packet in packets {
+            self.on_packet_at_server(agent, &packet);
+        }
+        self.schedule(Span::ZERO, Event::ServerTimer(agent));
+    }
+
+    /// Sends a packet or control message from one process to another, unless the link is cut.
+    pub(super) fn send_between(&mut self, from: Ipv4Addr, to: Ipv4Addr, event: Event) {
+        if !self.cut_links.contains(&(from.min(to), from.max(to))) {
+            self.send(event);
+        }
+    }
+}
+
+impl Event {
+    /// Returns a copy of a packet or control message.
+    pub(super) fn duplicate(&self) -> Option<Self> {
+        match self {
+            Self::ToBalancer(to, packet) => Some(Self::ToBalancer(*to, packet.clone())),
+            Self::ToAgent(to, header, packet) => Some(Self::ToAgent(*to, *header, packet.clone())),
+            Self::ControlMessage(to, message) => Some(Self::ControlMessage(*to, message.clone())),
+            Self::ToCaller(packet) => Some(Self::ToCaller(packet.clone())),
+            _ => None,
+        }
+    }
 }
--- a/crates/standins/src/passthrough/simulation/mod.rs
+++ b/crates/standins/src/passthrough/simulation/mod.rs
@@ -52,6 +52,8 @@
     pub cold_for: Span,
     /// Probability that a packet or control message is lost.
     pub packet_loss: f64,
+    /// Probability that a packet or control message arrives twice, the second time late.
+    pub disorder: f64,
     /// Minimum one-way delay of a packet or control message; the maximum is 1.5 times as long.
     pub delay: Span,
     /// Bytes that the link of each process carries a second, for copies of the state of a process and
@@ -74,6 +76,7 @@
             cold_flows_per_s: 0.0,
             cold_for: Span::from_secs(2),
             packet_loss: 0.0,
+            disorder: 0.0,
             delay: Span::from_millis(2),
             link_bytes_per_s: 0,
             seed: 1,
@@ -149,6 +152,8 @@
     report_sequence: u64,
     state: HostReportState,
     is_up: bool,
+    /// Packets that arrived while the backend server is frozen; `None` while it runs.
+    frozen_packets: Option<Vec<Vec<u8>>>,
 }
 
 /// State of all simulated processes, the network and the store at one point in virtual time.
@@ -168,6 +173,8 @@
     domain_status: DomainStatus,
     is_store_up: bool,
     links: Links,
+    /// Pairs of processes, the lower address first, between which everything is lost.
+    cut_links: BTreeSet<(Ipv4Addr, Ipv4Addr)>,
     /// Requests for copies of the catalogue since the last call of [`Self::take_copy_requests`].
     copy_requests: usize,
     next_caller: u32,
@@ -219,6 +226,7 @@
             },
             is_store_up: true,
             links: Links::new(options.link_bytes_per_s),
+            cut_links: BTreeSet::new(),
             copy_requests: 0,
             next_caller: 0,
             next_generation: 0,
@@ -449,6 +457,7 @@
             report_sequence: 0,
             state: HostReportState::Ready,
             is_up: true,
+            frozen_packets: None,
         };
         self.servers.insert(agent, server);
         self.oracle.on_server_start(agent);
