--- a/crates/coordination/src/passthrough/agent/control.rs
+++ b/crates/coordination/src/passthrough/agent/control.rs
@@ -190,6 +190,11 @@
                 self.on_absence(now, &absence, actions);
                 Vec::new()
             }
+            PeerMessage::AgentListRequest(request) => self.on_list_request(now, request),
+            PeerMessage::AgentList(list) => {
+                self.on_agent_list(now, &list);
+                Vec::new()
+            }
             PeerMessage::HostListPart(part) => {
                 self.on_host_list_part(now, part);
                 Vec::new()
@@ -203,7 +208,8 @@
             PeerMessage::PeerLoads(loads) => self.on_peer_loads(now, &loads),
             PeerMessage::Announcement(_)
             | PeerMessage::Heartbeat(_)
-            | PeerMessage::LoadHeartbeat(_) => Vec::new(),
+            | PeerMessage::LoadHeartbeat(_)
+            | PeerMessage::ServiceAbsence(_) => Vec::new(),
         }
     }
 
