--- a/crates/coordination/src/passthrough/agent/control.rs
+++ b/crates/coordination/src/passthrough/agent/control.rs
@@ -198,10 +198,13 @@
                     .retain(|host| host.agent != departure.agent);
                 Vec::new()
             }
+            PeerMessage::PeerLoads(loads) => {
+                self.on_peer_loads(now, loads);
+                Vec::new()
+            }
             PeerMessage::Announcement(_)
             | PeerMessage::Heartbeat(_)
-            | PeerMessage::LoadHeartbeat(_)
-            | PeerMessage::PeerLoads(_) => Vec::new(),
+            | PeerMessage::LoadHeartbeat(_) => Vec::new(),
         }
     }
 
--- a/crates/coordination/src/passthrough/agent/mod.rs
+++ b/crates/coordination/src/passthrough/agent/mod.rs
@@ -8,6 +8,7 @@
 mod flows;
 mod host;
 mod host_list;
+mod load;
 mod lookup;
 mod options;
 mod outcomes;
@@ -176,6 +177,7 @@
     lookups: OwnerLookups,
     /// Hosts of the service that a balancer listed last.
     service_hosts: Vec<HostAdvertisement>,
+    peer_loads: load::PeerLoadTable,
     /// Time at which each agent of the service was last listed; kept for a while after it is not.
     agents_listed_at: BTreeMap<Ipv4Addr, Time>,
     /// Times from a SYN or a request to the first data of the response.
@@ -217,6 +219,7 @@
             owner_cache: FlowCache::new(options.owner_cache_capacity, options.owner_cache_ttl),
             lookups: OwnerLookups::default(),
             service_hosts: Vec::new(),
+            peer_loads: load::PeerLoadTable::default(),
             agents_listed_at: BTreeMap::new(),
             response_times: Vec::new(),
             control: control::ControlState::default(),
--- a/crates/coordination/src/passthrough/balancer/control.rs
+++ b/crates/coordination/src/passthrough/balancer/control.rs
@@ -92,6 +92,7 @@
         self.peers.expire(now);
         self.control.round += 1;
         for agent in self.hosts.expire(now) {
+            self.loads.forget(agent);
             if !self.control.host_changes.record() {
                 continue;
             }
@@ -112,7 +113,16 @@
                 self.on_owner(now, owner.flow, owner.agent);
                 Vec::new()
             }
-            PeerMessage::LoadHeartbeat(load) => self.on_agent_heartbeat(now, &load.heartbeat),
+            PeerMessage::LoadHeartbeat(load) => {
+                if let Some(record) = self.hosts.get(load.heartbeat.agent) {
+                    let domain = &record.announcement.domain;
+                    let round_trip = Span(u64::from(load.round_trip_us));
+                    let round_trip = (load.round_trip_us > 0).then_some(round_trip);
+                    self.loads
+                        .record(now, load.heartbeat.agent, domain, load.load, round_trip);
+                }
+                self.on_agent_heartbeat(now, &load.heartbeat)
+            }
             PeerMessage::Absence(_)
             | PeerMessage::Departure(_)
             | PeerMessage::HostListPart(_)
--- a/crates/coordination/src/passthrough/balancer/mod.rs
+++ b/crates/coordination/src/passthrough/balancer/mod.rs
@@ -19,7 +19,9 @@
     super::{
         CatalogueOptions, CatalogueView, FlowCache, HostDirectory, HostDirectoryOptions,
         HostRecord, Lookup, PeerDirectory, PeerDirectoryOptions, ReaderElection,
-        StoreAccessOptions, flow_hash, load::LoadControlOptions, rendezvous_score,
+        StoreAccessOptions, flow_hash,
+        load::{LoadControlOptions, LoadView},
+        rendezvous_score,
     },
     cardamomloom_core::{ServiceName, Span, Time},
     cardamomloom_protocol::{
@@ -156,6 +158,7 @@
     hosts: HostDirectory,
     peers: PeerDirectory,
     placements: FlowCache<Placement>,
+    loads: LoadView,
     outages: ServiceOutages,
     reader_election: ReaderElection,
     control: control::ControlState,
@@ -183,6 +186,7 @@
                 options.placement_cache_capacity,
                 options.min_placement_cache_ttl,
             ),
+            loads: LoadView::default(),
             outages: ServiceOutages::new(options.refuse_after),
             reader_election: ReaderElection::new(options.store_access, own_address, now),
             control: control::ControlState::default(),
