Place new flows by expected wait, own failure domain first

Cause: new flows are placed by rendezvous alone. A host that works five times slower gets as many flows as the others, and two thirds of all flows leave the failure domain of their caller.

Change: with placement "expected_wait" a balancer compares the two candidates with the highest scores by wait, work time and round trips. Flows leave the own domain only by a share of the service that is adjusted once in a heartbeat interval. Agents relay SYNs to hosts of their domain with short waits first. Packets of flows with an unknown owner start at a host of the own domain. All of it is off by default.

--- a/crates/coordination/src/passthrough/agent/admission.rs
+++ b/crates/coordination/src/passthrough/agent/admission.rs
@@ -2,13 +2,11 @@
 //! another host.
 
 use {
-    super::{Action, Agent, DropReason, LocalFlow, Phase, QueuedSyn, has_visited, previous_hops},
-    crate::passthrough::{flow_hash, rendezvous_score},
+    super::{Action, Agent, DropReason, LocalFlow, Phase, QueuedSyn, previous_hops},
     cardamomloom_core::Time,
     cardamomloom_protocol::passthrough::{
         FlowId, HostReportState, LeastLoaded, RelayHeader, RelayKind, RunId, Segment,
     },
-    std::net::Ipv4Addr,
 };
 
 /// Overload score of a host whose backend server fails requests. It is the highest score that a
@@ -160,6 +158,7 @@
     /// then `None` when no other host is known that can.
     pub(super) fn relay_overloaded(
         &self,
+        now: Time,
         header: &RelayHeader,
         flow: &FlowId,
         overload_score: Option<u8>,
@@ -176,7 +175,7 @@
         }
         let has_least_loaded = header.least_loaded.queue_excess < u8::MAX;
         if (header.visited().len() < self.options.busy_host_probes || !has_least_loaded)
-            && let Some((to, header)) = self.next_candidate(&header, flow)
+            && let Some((to, header)) = self.next_candidate(now, &header, flow)
         {
             return Some(Action::Relay { to, header });
         }
@@ -195,37 +194,17 @@
     /// Forwards the SYN of a flow to the next candidate, or drops it when there is none.
     pub(super) fn relay_to_next(
         &self,
+        now: Time,
         header: &RelayHeader,
         flow: &FlowId,
         actions: &mut Vec<Action>,
     ) {
-        actions.push(match self.next_candidate(header, flow) {
+        actions.push(match self.next_candidate(now, header, flow) {
             Some((to, header)) => Action::Relay { to, header },
             None => Action::Drop(DropReason::NoHost),
         });
     }
 
-    /// Returns the next candidate for a SYN, with the header to relay it: the host with the highest
-    /// rendezvous score among those that accept new flows and have not been visited. `None` when
-    /// there is no such host, or the SYN has visited as many agents as its header can list.
-    pub(super) fn next_candidate(
-        &self,
-        header: &RelayHeader,
-        flow: &FlowId,
-    ) -> Option<(Ipv4Addr, RelayHeader)> {
-        let hash = flow_hash(flow);
-        let own_address = self.identity.address;
-        let next = self
-            .service_hosts
-            .iter()
-            .filter(|host| {
-                host.accepts_new && host.agent != own_address && !has_visited(header, host.agent)
-            })
-            .max_by_key(|host| rendezvous_score(hash, host.agent))?;
-        let header = header.relayed_by(own_address, RelayKind::PassOn, next.run)?;
-        Some((next.agent, header))
-    }
-
     /// Returns whether the backend server is suspected to have failed or restarted.
     pub(super) fn is_suspected(&self, now: Time) -> bool {
         let is_report_missing = self
--- a/crates/coordination/src/passthrough/agent/mod.rs
+++ b/crates/coordination/src/passthrough/agent/mod.rs
@@ -13,6 +13,7 @@
 mod options;
 mod outcomes;
 mod registry_retry;
+mod relay_order;
 mod segments;
 mod syn_queue;
 
@@ -356,7 +357,7 @@
                 _ => None,
             });
             if let Some((packet, header)) = unanswered.flatten()
-                && let Some((to, header)) = self.next_candidate(&header, &flow)
+                && let Some((to, header)) = self.next_candidate(now, &header, &flow)
             {
                 actions.push(Action::RelayBuffered { to, header, packet });
             }
@@ -397,11 +398,11 @@
             return;
         }
         if !self.accepts_flows(now) {
-            self.relay_to_next(header, &flow, actions);
+            self.relay_to_next(now, header, &flow, actions);
             return;
         }
         if !self.is_within_cold_rate(now) {
-            if let Some(relay) = self.relay_overloaded(header, &flow, None) {
+            if let Some(relay) = self.relay_overloaded(now, header, &flow, None) {
                 actions.push(relay);
             } else {
                 self.queue_syn(now, flow, header, segment, packet);
@@ -410,7 +411,7 @@
         }
         if let Some(overload_score) = self.overload_score(now)
             && header.kind != RelayKind::Assign
-            && let Some(relay) = self.relay_overloaded(header, &flow, Some(overload_score))
+            && let Some(relay) = self.relay_overloaded(now, header, &flow, Some(overload_score))
         {
             actions.push(relay);
             return;
@@ -457,7 +458,7 @@
         if segment.is_syn_without_ack() {
             match entry.phase {
                 Phase::SynDelivered { header, .. } => {
-                    if let Some((to, header)) = self.next_candidate(&header, &flow) {
+                    if let Some((to, header)) = self.next_candidate(now, &header, &flow) {
                         actions.push(Action::RelayBuffered {
                             to,
                             header,
--- a/crates/coordination/src/passthrough/balancer/control.rs
+++ b/crates/coordination/src/passthrough/balancer/control.rs
@@ -93,6 +93,7 @@
         self.control.round += 1;
         for agent in self.hosts.expire(now) {
             self.loads.forget(agent);
+            self.placer.forget(agent);
             if !self.control.host_changes.record() {
                 continue;
             }
--- a/crates/coordination/src/passthrough/balancer/mod.rs
+++ b/crates/coordination/src/passthrough/balancer/mod.rs
@@ -6,12 +6,14 @@
 mod discovery;
 mod host_list;
 mod outages;
+mod placement;
 mod startup_queue;
 
 pub use {
     control::{BalancerSummary, HostSummary},
     copies::SnapshotContent,
     outages::ServiceOutages,
+    placement::PlacementCounts,
     startup_queue::StartupQueue,
 };
 
@@ -20,10 +22,9 @@
         CatalogueOptions, CatalogueView, FlowCache, HostDirectory, HostDirectoryOptions,
         HostRecord, Lookup, PeerDirectory, PeerDirectoryOptions, ReaderElection,
         StoreAccessOptions, flow_hash,
-        load::{LoadControlOptions, LoadView},
-        rendezvous_score,
+        load::{LoadControlOptions, LoadView, Placer},
     },
-    cardamomloom_core::{ServiceName, Span, Time},
+    cardamomloom_core::{DomainName, ServiceName, Span, Time},
     cardamomloom_protocol::{
         control::HostState,
         passthrough::{FlowId, RelayHeader, RunId, Segment, ServiceTag},
@@ -153,12 +154,16 @@
 pub struct Balancer {
     options: BalancerOptions,
     own_address: Ipv4Addr,
+    /// Failure domain of this process, if it is known.
+    own_domain: Option<DomainName>,
     started: Time,
     catalogue: CatalogueView,
     hosts: HostDirectory,
     peers: PeerDirectory,
     placements: FlowCache<Placement>,
     loads: LoadView,
+    placer: Placer,
+    placement_counts: PlacementCounts,
     outages: ServiceOutages,
     reader_election: ReaderElection,
     control: control::ControlState,
@@ -178,6 +183,7 @@
         peers.set_seeds(now, seeds);
         Self {
             own_address,
+            own_domain: None,
             started: now,
             catalogue: CatalogueView::new(options.catalogue),
             hosts: HostDirectory::new(options.hosts),
@@ -187,6 +193,8 @@
                 options.min_placement_cache_ttl,
             ),
             loads: LoadView::default(),
+            placer: Placer::default(),
+            placement_counts: PlacementCounts::default(),
             outages: ServiceOutages::new(options.refuse_after),
             reader_election: ReaderElection::new(options.store_access, own_address, now),
             control: control::ControlState::default(),
@@ -194,6 +202,13 @@
         }
     }
 
+    /// Sets the failure domain of this process.
+    #[must_use]
+    pub fn with_domain(mut self, domain: DomainName) -> Self {
+        self.own_domain = Some(domain);
+        self
+    }
+
     /// Decides what to do with a packet of a caller.
     pub fn on_packet(&mut self, now: Time, segment: &Segment) -> ForwardingDecision {
         if !segment.is_syn_without_ack() {
@@ -237,7 +252,10 @@
         let hash = flow_hash(flow);
         let mut copies: Vec<(Ipv4Addr, RelayHeader)> = services
             .iter()
-            .filter_map(|service| self.hosts.preferred_host(now, service, hash))
+            .filter_map(|service| {
+                self.hosts
+                    .preferred_host(now, service, hash, self.preferred_domain())
+            })
             .map(|record| {
                 let placement = Placement {
                     run: RunId::default(),
@@ -350,41 +368,6 @@
         }
     }
 
-    /// Places a new flow on the usable host with the highest rendezvous score. A retransmitted SYN
-    /// goes to another host than the one before, unless there is no other. A balancer with an outdated
-    /// catalogue leaves the decision to an agent with a newer one.
-    fn place(
-        &mut self,
-        now: Time,
-        flow: &FlowId,
-        retransmissions: u32,
-        service: &ServiceName,
-    ) -> Option<Placement> {
-        let previous_agent = self
-            .placements
-            .touch(now, flow)
-            .filter(|_| retransmissions > 0)
-            .map(|placement| placement.agent);
-        let hash = flow_hash(flow);
-        let is_outdated = self.catalogue.is_outdated(now);
-        let version = self.catalogue.version();
-        let usable_hosts = self.hosts.of_service(service).filter(|record| {
-            self.is_usable(now, record) && (!is_outdated || record.announcement.catalogue > version)
-        });
-        let chosen = usable_hosts
-            .min_by_key(|record| {
-                let agent = record.announcement.agent;
-                (
-                    Some(agent) == previous_agent,
-                    !rendezvous_score(hash, agent),
-                )
-            })
-            .map(to_placement)?;
-        self.outages.end(service);
-        self.placements.insert(now, *flow, chosen);
-        Some(chosen)
-    }
-
     /// Returns the cached owner of an open flow, unless its host has departed or its agent's address
     /// belongs to a host of another service now.
     fn cached_owner(&mut self, now: Time, flow: &FlowId) -> Option<Placement> {
--- a/crates/coordination/src/passthrough/hosts.rs
+++ b/crates/coordination/src/passthrough/hosts.rs
@@ -2,7 +2,7 @@
 
 use {
     super::rendezvous_score,
-    cardamomloom_core::{ServiceName, Span, Time},
+    cardamomloom_core::{DomainName, ServiceName, Span, Time},
     cardamomloom_protocol::{
         control::HostState,
         passthrough::{AgentHeartbeat, Announcement, HostAdvertisement, RunId},
@@ -259,20 +259,23 @@
 
     /// Returns the preferred host of a service for packets of a flow whose owner is unknown: the
     /// one with the highest rendezvous score among those that have not departed. An agent that is
-    /// unresponsive comes last, because it cannot look up the owner.
+    /// unresponsive comes last, because it cannot look up the owner; a host of `preferred_domain`
+    /// comes before the others, so that the lookup starts near the balancer.
     #[must_use]
     pub fn preferred_host(
         &self,
         now: Time,
         service: &ServiceName,
         flow_hash: u64,
+        preferred_domain: Option<&DomainName>,
     ) -> Option<&HostRecord> {
         self.of_service(service)
             .filter(|record| record.announcement.state != HostState::Gone)
             .max_by_key(|record| {
                 let is_responsive = self.is_responsive(now, record);
                 let score = rendezvous_score(flow_hash, record.announcement.agent);
-                (is_responsive, score)
+                let is_near = preferred_domain == Some(&record.announcement.domain);
+                (is_responsive, is_near, score)
             })
     }
 
--- a/crates/standins/src/passthrough/mod.rs
+++ b/crates/standins/src/passthrough/mod.rs
@@ -6,6 +6,7 @@
 mod host;
 mod names;
 mod oracle;
+mod queues;
 mod simulation;
 
 pub use {
@@ -14,5 +15,6 @@
     host::{HostModel, HostOptions, ServerEvent},
     names::{domain_name, route, service_name},
     oracle::{FlowCounters, Oracle, Violation},
+    queues::{PlacementRule, QueueHost, QueueModel, QueuedFlow},
     simulation::{Load, Simulation, SimulationOptions},
 };
