--- a/crates/coordination/src/passthrough/balancer/control.rs
+++ b/crates/coordination/src/passthrough/balancer/control.rs
@@ -95,6 +95,7 @@
         self.expire_loads(now);
         for agent in self.hosts.expire(now) {
             self.loads.forget(agent);
+            self.placer.forget(agent);
             if !self.control.host_changes.record() {
                 continue;
             }
--- a/crates/coordination/src/passthrough/balancer/load.rs
+++ b/crates/coordination/src/passthrough/balancer/load.rs
@@ -3,7 +3,7 @@
 use {
     super::{Balancer, host_list::HostChanges},
     crate::passthrough::{
-        HostRecord, OutgoingMessage, as_millis_u16,
+        OutgoingMessage, as_millis_u16,
         load::{ExpectedLoad, LoadView},
     },
     cardamomloom_core::{ServiceName, Span, Time},
@@ -162,11 +162,6 @@
         self.options.load_control.uses_loads()
     }
 
-    fn usable_hosts(&self, now: Time, service: &ServiceName) -> impl Iterator<Item = &HostRecord> {
-        let hosts = self.hosts.of_service(service);
-        hosts.filter(move |record| self.is_usable(now, record))
-    }
-
     /// Returns the recent loads of other usable hosts of the service of an agent, as many as the limit
     /// of the rate allows.
     fn peer_loads_for(&mut self, now: Time, receiver: Ipv4Addr) -> PeerMessage {
