--- a/crates/daemon/src/passthrough/balancer.rs
+++ b/crates/daemon/src/passthrough/balancer.rs
@@ -54,7 +54,8 @@
         settings.address(),
         &seeds,
         runtime.clock.now(),
-    );
+    )
+    .with_domain(settings.domain.clone());
     let node = BalancerNode {
         balancer,
         runtime,
@@ -70,6 +71,7 @@
         sample_log: LogRateLimiter::samples(),
         is_ready: false,
         is_stopping: false,
+        next_publication: Time::ZERO,
     };
     let actor = actor!(stakker, BalancerNode::init(node), ret_shutdown!(stakker));
     let handler = fwd_to!([actor], on_event() as (Event));
@@ -77,6 +79,21 @@
     Ok(())
 }
 
+/// Interval of the metrics of placement, which have a gauge for each service.
+const METRICS_INTERVAL: Span = Span::from_secs(1);
+
+/// Publishes where new flows go. Without placement by expected wait there is nothing to publish.
+fn publish_placement(balancer: &Balancer) {
+    for (scope, reason, flows) in balancer.placement_counts().iter() {
+        let reason = reason.label();
+        metrics::counter!("cardamomloom_placed_flows_total", "scope" => scope, "reason" => reason)
+            .absolute(flows);
+    }
+    for (service, share) in balancer.leaving_shares() {
+        metrics::gauge!("cardamomloom_leaving_share", "service" => service.to_string()).set(share);
+    }
+}
+
 struct BalancerNode {
     balancer: Balancer,
     runtime: NodeRuntime,
@@ -94,6 +111,7 @@
     sample_log: LogRateLimiter,
     is_ready: bool,
     is_stopping: bool,
+    next_publication: Time,
 }
 
 impl BalancerNode {
@@ -175,6 +193,10 @@
         let outgoing = self.balancer.on_tick(now);
         self.send(outgoing);
         self.update_runtime(now);
+        if now >= self.next_publication {
+            self.next_publication = now + METRICS_INTERVAL;
+            publish_placement(&self.balancer);
+        }
     }
 
     fn on_packets(&mut self, now: Time) {
