Decide lost flows only with knowledge of the agents and targets before a start

Cause: a process that had started recently decided a lookup when all servers that it knew were new.

Change: a young agent needs the list of an older agent or balancer, or the statement of a balancer that a sample of the whole fleet is new. A balancer collects the statements also of single services, with whether the agent knows all former targets, and sends retransmissions to other agents.

--- a/crates/coordination/src/passthrough/agent/agent_lists.rs
+++ b/crates/coordination/src/passthrough/agent/agent_lists.rs
@@ -21,6 +21,9 @@
 /// Least time between two requests for a list, so that a burst of lookups sends few of them.
 const REQUEST_INTERVAL: Span = Span::from_millis(20);
 
+/// Least time for which the statement of a balancer about the age of the fleet is valid.
+const FLEET_AGE_VALIDITY: Span = Span::from_secs(2);
+
 /// Least time between two requests for the list of the same agent.
 const SAME_AGENT_INTERVAL: Span = Span::from_millis(500);
 
@@ -40,6 +43,10 @@
     lists: BTreeMap<AgentSetDigest, (Time, BTreeSet<Ipv4Addr>)>,
     /// Whether an agent that has run for long enough has named all agents that may own flows.
     has_complete_list: bool,
+    /// Time at which a balancer last stated that all processes have started a short time ago.
+    fleet_new_at: Option<Time>,
+    /// Whether this process started with all others, so that every flow was opened since then.
+    has_started_with_fleet: bool,
     requested_at: BTreeMap<Ipv4Addr, Time>,
     last_request: Option<Time>,
 }
@@ -128,6 +135,39 @@
         now.since(self.started) > self.options.agent_retention || self.known_lists.has_complete_list
     }
 
+    /// Returns whether a balancer has found a short time ago that no process of the fleet is older than
+    /// this one.
+    pub(super) fn is_fleet_new(&self, now: Time) -> bool {
+        let validity = FLEET_AGE_VALIDITY.max(Span(3 * self.announcement_interval().0));
+        self.known_lists
+            .fleet_new_at
+            .is_some_and(|at| now.since(at) <= validity)
+    }
+
+    /// Returns whether this process knows every former target of a route whose flows may still be open:
+    /// it has run for longer than any flow, or every flow was opened since it started.
+    pub(super) fn knows_former_targets(&self, now: Time) -> bool {
+        self.known_lists.has_started_with_fleet
+            || now.since(self.started) > self.options.max_flow_duration
+    }
+
+    /// Asks a balancer for the agents of the service, and for the age of the fleet, while this process
+    /// does not know the agents that were listed before it started.
+    pub(super) fn request_balancer_list(
+        &mut self,
+        now: Time,
+        balancer: Ipv4Addr,
+    ) -> Option<OutgoingMessage> {
+        let is_requested =
+            !self.knows_former_agents(now) && self.known_lists.should_request(now, balancer);
+        is_requested.then_some(OutgoingMessage {
+            to: balancer,
+            message: PeerMessage::AgentListRequest(AgentListRequest {
+                agent: self.identity.address,
+            }),
+        })
+    }
+
     /// Returns the request for the list of an agent whose statement ended a lookup.
     pub(super) fn request_list(&mut self, now: Time, agent: Ipv4Addr) -> Option<Action> {
         let is_requested =
@@ -162,10 +202,13 @@
         if agents.len() > MAX_LISTED_AGENTS {
             return Vec::new();
         }
+        let is_same_service = self.agents_listed_at.contains_key(&request.agent);
+        let agents = if is_same_service { agents } else { Vec::new() };
         let message = PeerMessage::AgentList(AgentList {
             agent: self.identity.address,
             service: self.tag,
             is_complete: self.knows_former_agents(now) && self.has_recent_contact(now),
+            is_fleet_new: false,
             agents,
         });
         OutgoingMessage::to_each([request.agent], &message).collect()
@@ -189,6 +232,13 @@
         self.known_lists
             .insert(now, agents.chain([list.agent]).collect());
         self.known_lists.has_complete_list |= list.is_complete;
+        if list.is_fleet_new {
+            self.known_lists.fleet_new_at = Some(now);
+        }
+        if now.since(self.started) <= retention {
+            self.known_lists.has_started_with_fleet |= list.is_fleet_new;
+            self.known_lists.has_started_with_fleet &= !self.known_lists.has_complete_list;
+        }
         debug!(
             event = "agent_list", agent:% = list.agent, agents = list.agents.len(),
             is_complete = list.is_complete;
--- a/crates/coordination/src/passthrough/agent/control.rs
+++ b/crates/coordination/src/passthrough/agent/control.rs
@@ -362,11 +362,12 @@
         if heartbeat.wants_answer && !receivers.contains(&heartbeat.balancer) {
             receivers.push(heartbeat.balancer);
         }
-        if receivers.is_empty() {
-            return Vec::new();
+        let mut outgoing = Vec::from_iter(self.request_balancer_list(now, heartbeat.balancer));
+        if !receivers.is_empty() {
+            let message = PeerMessage::Announcement(self.announcement(now));
+            outgoing.extend(OutgoingMessage::to_each(receivers, &message));
         }
-        let message = PeerMessage::Announcement(self.announcement(now));
-        OutgoingMessage::to_each(receivers, &message).collect()
+        outgoing
     }
 
     /// Returns the messages to all balancers: announcements for [`REPEAT_SPAN`] after a change of
--- a/crates/coordination/src/passthrough/agent/lookup.rs
+++ b/crates/coordination/src/passthrough/agent/lookup.rs
@@ -127,6 +127,18 @@
         self.lookups.insert(now, query.flow, lookup);
     }
 
+    /// Records that a flow is not looked up, because this process does not know the agents that were
+    /// listed before it started, and other processes are older.
+    pub fn on_older_fleet(&mut self, now: Time, flow: &FlowId) {
+        let outcome = LookupOutcome::OlderProcess;
+        if self.outcomes.record(now, outcome) {
+            info!(
+                event = "lookup_undecided", flow:%, cause = outcome.label();
+                "agents that were listed before the start of this process are not known yet"
+            );
+        }
+    }
+
     /// Ends the lookup of a flow, because its owner is known.
     pub fn on_owner(&mut self, now: Time, flow: &FlowId) {
         if self.lookups.touch(now, flow).is_some() {
--- a/crates/coordination/src/passthrough/agent/segments.rs
+++ b/crates/coordination/src/passthrough/agent/segments.rs
@@ -92,10 +92,7 @@
             let cached_owner = self.owner_cache.touch(now, flow).copied();
             if cached_owner.is_none() && segment.payload_bytes > 0 && self.knows_service_agents(now)
             {
-                self.start_lookup(now, &header, segment);
-                if !self.knows_former_agents(now) {
-                    actions.extend(self.request_any_list(now));
-                }
+                self.start_lookup(now, &header, segment, actions);
             }
             let receivers = cached_owner
                 .map_or_else(|| self.possible_owners(), |owner| vec![owner])
@@ -140,11 +137,26 @@
         &self.lookups.outcomes
     }
 
-    /// Starts the lookup of the owner of a flow. Unless this service is the only one that may own it, a
-    /// result goes to the balancer, which knows the other services.
-    fn start_lookup(&mut self, now: Time, header: &RelayHeader, segment: &Segment) {
+    /// Starts the lookup of the owner of a flow. Unless this service is known to be the only one that may
+    /// own it, a result goes to the balancer, which knows the other services.
+    fn start_lookup(
+        &mut self,
+        now: Time,
+        header: &RelayHeader,
+        segment: &Segment,
+        actions: &mut Vec<Action>,
+    ) {
         let flow = segment.flow_from_caller();
+        let requires_new_servers = !self.knows_former_agents(now);
+        if requires_new_servers {
+            actions.extend(self.request_any_list(now));
+            if !self.is_fleet_new(now) {
+                self.lookups.on_older_fleet(now, &flow);
+                return;
+            }
+        }
         let is_only_owner = !header.has_copies
+            && self.knows_former_targets(now)
             && self
                 .catalogue
                 .is_only_owner(now, flow.service, &self.identity.service);
@@ -152,7 +164,7 @@
             flow,
             acknowledgment: segment.acknowledgment,
             asked: self.asked_agents(),
-            requires_new_servers: !self.knows_former_agents(now),
+            requires_new_servers,
             answer_to: (!is_only_owner).then_some(header.balancer),
         };
         debug!(
@@ -178,6 +190,7 @@
             agent: self.identity.address,
             service: self.tag,
             possible_owners: possible_owners.into_iter().collect(),
+            knows_former_targets: self.knows_former_targets(now),
         })
     }
 
--- a/crates/coordination/src/passthrough/balancer/control.rs
+++ b/crates/coordination/src/passthrough/balancer/control.rs
@@ -82,8 +82,9 @@
         self.lost_flows.expire(now);
         self.log_host_changes(now);
         self.catalogue.log_behind(now);
+        let mut outgoing = self.sample_fleet_age(now);
         if now < self.control.next_heartbeat {
-            return Vec::new();
+            return outgoing;
         }
         self.control.next_heartbeat = self.peers.next_heartbeat_at(
             now,
@@ -98,7 +99,8 @@
             }
             info!(event = "host_forgotten", agent:%; "host removed: no message from its agent within the timeout");
         }
-        self.heartbeats_to_balancers(now)
+        outgoing.extend(self.heartbeats_to_balancers(now));
+        outgoing
     }
 
     /// Processes a control message and returns the messages to send.
@@ -121,9 +123,12 @@
             PeerMessage::Absence(_)
             | PeerMessage::Departure(_)
             | PeerMessage::HostListPart(_)
-            | PeerMessage::PeerLoads(_)
-            | PeerMessage::AgentListRequest(_)
-            | PeerMessage::AgentList(_) => Vec::new(),
+            | PeerMessage::PeerLoads(_) => Vec::new(),
+            PeerMessage::AgentListRequest(request) => self.on_list_request(now, request),
+            PeerMessage::AgentList(list) => {
+                self.on_agent_list(now, &list);
+                Vec::new()
+            }
         }
     }
 
--- a/crates/coordination/src/passthrough/balancer/lost_flows.rs
+++ b/crates/coordination/src/passthrough/balancer/lost_flows.rs
@@ -35,9 +35,11 @@
 struct Statements {
     acknowledgment: u32,
     until: Time,
-    /// Whether a packet of the flow was sent to all services. A statement that arrives without one may
-    /// be late.
-    has_packet: bool,
+    /// Packets of the flow that were sent to all services. A statement that arrives without one may be
+    /// late.
+    packets: u32,
+    /// Whether this balancer or an agent that made a statement knows all former targets of the route.
+    knows_former_targets: bool,
     /// Services that may own the flow, as far as this balancer or any agent that made a statement
     /// knows.
     required: BTreeSet<ServiceTag>,
@@ -72,7 +74,8 @@
         self.flows.retain(|flow, statements| {
             let is_kept = now <= statements.until;
             if !is_kept
-                && statements.has_packet
+                && statements.packets > 0
+                && statements.required.len() > 1
                 && outcomes.record(now, LookupOutcome::ServiceSilent)
             {
                 let (required, denied) = (&statements.required, &statements.denied);
@@ -87,24 +90,38 @@
     }
 
     /// Records that a packet is sent to the services that may own its flow.
-    fn on_copies(&mut self, now: Time, segment: &Segment, services: BTreeSet<ServiceTag>) {
+    ///
+    /// Returns the number of earlier packets.
+    fn on_packet(&mut self, now: Time, segment: &Segment, services: BTreeSet<ServiceTag>) -> u32 {
         let flow = segment.flow_from_caller();
-        if let Some(statements) = self.entry(now, flow, segment.acknowledgment) {
-            statements.has_packet = true;
-            statements.until = now + LIFETIME;
-            statements.required.extend(services);
-        }
+        let Some(statements) = self.entry(now, flow, segment.acknowledgment) else {
+            return 0;
+        };
+        statements.until = now + LIFETIME;
+        statements.required.extend(services);
+        statements.packets += 1;
+        statements.packets - 1
     }
 
     /// Records the statement of a service. `present` are the services that may own the flow now.
-    fn on_absence(&mut self, now: Time, absence: &ServiceAbsence, present: BTreeSet<ServiceTag>) {
+    fn on_absence(
+        &mut self,
+        now: Time,
+        absence: &ServiceAbsence,
+        present: BTreeSet<ServiceTag>,
+        knows_former_targets: bool,
+    ) {
         let Some(statements) = self.entry(now, absence.flow, absence.acknowledgment) else {
             return;
         };
         statements.denied.insert(absence.service);
         statements.required.extend(present);
         statements.required.extend(&absence.possible_owners);
-        if !statements.has_packet || !statements.required.is_subset(&statements.denied) {
+        statements.knows_former_targets |= knows_former_targets || absence.knows_former_targets;
+        let is_lost = statements.packets > 0
+            && statements.knows_former_targets
+            && statements.required.is_subset(&statements.denied);
+        if !is_lost {
             return;
         }
         let services = statements.denied.len();
@@ -136,7 +153,8 @@
             let statements = Statements {
                 acknowledgment,
                 until: now + LIFETIME,
-                has_packet: false,
+                packets: 0,
+                knows_former_targets: false,
                 required: BTreeSet::new(),
                 denied: BTreeSet::new(),
             };
@@ -170,12 +188,14 @@
             .collect()
     }
 
-    /// Records that a request on an open flow is sent to all services that may own it.
-    pub(super) fn on_copied_packet(&mut self, now: Time, segment: &Segment) {
-        if segment.payload_bytes > 0 {
-            let services = self.possible_owner_tags(now, segment.destination);
-            self.lost_flows.on_copies(now, segment, services);
+    /// Records that a packet of an open flow is sent to all services that may own it. Returns the number
+    /// of requests with the same acknowledgment number before.
+    pub(super) fn on_unknown_owner(&mut self, now: Time, segment: &Segment) -> u32 {
+        if segment.payload_bytes == 0 {
+            return 0;
         }
+        let services = self.possible_owner_tags(now, segment.destination);
+        self.lost_flows.on_packet(now, segment, services)
     }
 
     /// Processes the statement that no host of a service holds a flow. The cached owner, if it is of
@@ -195,7 +215,9 @@
             return;
         }
         let present = self.possible_owner_tags(now, address);
-        self.lost_flows.on_absence(now, absence, present);
+        let knows_former_targets = self.knows_former_targets(now);
+        self.lost_flows
+            .on_absence(now, absence, present, knows_former_targets);
     }
 
     fn possible_owner_tags(&self, now: Time, address: SocketAddrV4) -> BTreeSet<ServiceTag> {
--- a/crates/coordination/src/passthrough/balancer/mod.rs
+++ b/crates/coordination/src/passthrough/balancer/mod.rs
@@ -4,6 +4,7 @@
 mod control;
 mod copies;
 mod discovery;
+mod fleet_age;
 mod host_list;
 mod lost_flows;
 mod outages;
@@ -160,6 +161,7 @@
     placements: FlowCache<Placement>,
     outages: ServiceOutages,
     lost_flows: lost_flows::LostFlows,
+    fleet_age: fleet_age::FleetAge,
     reader_election: ReaderElection,
     control: control::ControlState,
 }
@@ -188,6 +190,7 @@
             ),
             outages: ServiceOutages::new(options.refuse_after),
             lost_flows: lost_flows::LostFlows::default(),
+            fleet_age: fleet_age::FleetAge::default(),
             reader_election: ReaderElection::new(options.store_access, own_address, now),
             control: control::ControlState::default(),
             options,
@@ -231,9 +234,11 @@
     /// Forwards a packet of an open flow to the preferred host of each service that may own the flow.
     /// The agents that receive it look up the owner among the hosts of their service.
     fn forward_to_possible_owners(&mut self, now: Time, segment: &Segment) -> ForwardingDecision {
+        // A retransmission goes to other agents, in case those before cannot look up the owner.
+        let retransmissions = self.on_unknown_owner(now, segment);
         let services = self.possible_owners(now, segment.destination);
         let is_shared = services.len() > 1;
-        let hash = flow_hash(&segment.flow_from_caller());
+        let hash = flow_hash(&segment.flow_from_caller()).rotate_left(retransmissions);
         let mut copies: Vec<(Ipv4Addr, RelayHeader)> = services
             .iter()
             .filter_map(|service| self.hosts.preferred_host(now, service, hash))
@@ -247,9 +252,6 @@
                 (placement.agent, header)
             })
             .collect();
-        if is_shared {
-            self.on_copied_packet(now, segment);
-        }
         match copies.len() {
             0 => ForwardingDecision::Drop(DropReason::NoHost),
             1 => {
--- a/crates/coordination/src/passthrough/lookup_outcomes.rs
+++ b/crates/coordination/src/passthrough/lookup_outcomes.rs
@@ -20,6 +20,9 @@
     /// This process does not know the agents that were listed before it started, and a backend server
     /// is older than that.
     OldServer,
+    /// This process does not know the agents that were listed before it started, and it is not known
+    /// that all processes have started a short time ago.
+    OlderProcess,
     /// An agent has not answered. Silence is no proof.
     AgentSilent,
     /// A service that may own the flow has not stated that none of its hosts holds it.
@@ -29,12 +32,13 @@
 }
 
 impl LookupOutcome {
-    const ALL: [Self; 8] = [
+    const ALL: [Self; 9] = [
         Self::OwnerFound,
         Self::Lost,
         Self::ServiceLost,
         Self::ListsDiffer,
         Self::OldServer,
+        Self::OlderProcess,
         Self::AgentSilent,
         Self::ServiceSilent,
         Self::Limited,
@@ -49,6 +53,7 @@
             Self::ServiceLost => "service_lost",
             Self::ListsDiffer => "undecided_lists_differ",
             Self::OldServer => "undecided_old_server",
+            Self::OlderProcess => "undecided_older_process",
             Self::AgentSilent => "undecided_agent_silent",
             Self::ServiceSilent => "undecided_service_silent",
             Self::Limited => "undecided_limited",
--- a/crates/coordination/tests/passthrough_hostile_messages.rs
+++ b/crates/coordination/tests/passthrough_hostile_messages.rs
@@ -11,10 +11,11 @@
     cardamomloom_protocol::{
         control::HostState,
         passthrough::{
-            AgentDeparture, AgentHeartbeat, AgentSetDigest, Announcement, BalancerHeartbeat,
-            CatalogueVersion, DomainStatus, FlowAbsence, FlowId, FlowOwner, HostAdvertisement,
-            HostListDigest, HostListPart, HostReport, HostReportState, PeerMessage, RelayHeader,
-            RelayKind, RunId, Segment, SegmentFlags, ServiceTag, StoreEra, StoreRevision,
+            AgentDeparture, AgentHeartbeat, AgentList, AgentListRequest, AgentSetDigest,
+            Announcement, BalancerHeartbeat, CatalogueVersion, DomainStatus, FlowAbsence, FlowId,
+            FlowOwner, HostAdvertisement, HostListDigest, HostListPart, HostReport,
+            HostReportState, ListedAgent, PeerMessage, RelayHeader, RelayKind, RunId, Segment,
+            SegmentFlags, ServiceAbsence, ServiceTag, StoreEra, StoreRevision,
         },
     },
     proptest::prelude::*,
@@ -173,6 +174,43 @@
                 hosts,
             })
         }),
+        lookup_message(),
+    ]
+}
+
+/// Returns statements and lists of agents around owner lookups.
+fn lookup_message() -> impl Strategy<Value = PeerMessage> {
+    let services = prop::collection::vec(any::<u32>().prop_map(ServiceTag), 0..20);
+    let absence = (flow(), any::<u32>(), address(), any::<u32>(), services);
+    let agents = prop::collection::vec((address(), any::<u16>()), 0..140);
+    let list = (address(), any::<u32>(), any::<[bool; 2]>(), agents);
+    prop_oneof![
+        absence.prop_map(|(flow, acknowledgment, agent, service, possible_owners)| {
+            PeerMessage::ServiceAbsence(ServiceAbsence {
+                flow,
+                acknowledgment,
+                agent,
+                service: ServiceTag(service),
+                possible_owners,
+                knows_former_targets: acknowledgment % 2 == 0,
+            })
+        }),
+        address().prop_map(|agent| PeerMessage::AgentListRequest(AgentListRequest { agent })),
+        list.prop_map(|(agent, service, [is_complete, is_fleet_new], agents)| {
+            let agents = agents.into_iter();
+            PeerMessage::AgentList(AgentList {
+                agent,
+                service: ServiceTag(service),
+                is_complete,
+                is_fleet_new,
+                agents: agents
+                    .map(|(agent, listed_ago_ms)| ListedAgent {
+                        agent,
+                        listed_ago_ms,
+                    })
+                    .collect(),
+            })
+        }),
     ]
 }
 
--- a/crates/protocol/src/passthrough/lost_flows.rs
+++ b/crates/protocol/src/passthrough/lost_flows.rs
@@ -28,12 +28,14 @@
     /// Services that may hold flows to the address, as far as the agent knows; at most
     /// [`MAX_POSSIBLE_OWNERS`].
     pub possible_owners: Vec<ServiceTag>,
+    /// Whether the agent knows all former targets of the route whose flows may still be open.
+    pub knows_former_targets: bool,
 }
 
-/// Requests the list of agents of an agent of the same service.
+/// Requests an [`AgentList`] of an agent or a balancer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AgentListRequest {
-    /// Address of the agent that gets the list.
+    /// Address of the process that gets the list.
     pub agent: Ipv4Addr,
 }
 
@@ -52,11 +54,13 @@
 pub struct AgentList {
     /// Address of the sender.
     pub agent: Ipv4Addr,
-    /// Service of the sender.
+    /// Service of the agents.
     pub service: ServiceTag,
     /// Whether the sender has run for so long that it knows every agent that was listed in the time
     /// for which an agent that is no longer listed may own flows.
     pub is_complete: bool,
-    /// The agents, at most [`MAX_LISTED_AGENTS`].
+    /// Whether the sender is a balancer and found that all processes have started a short time ago.
+    pub is_fleet_new: bool,
+    /// The agents, at most [`MAX_LISTED_AGENTS`]; none if the receiver is not of the service.
     pub agents: Vec<ListedAgent>,
 }
