--- a/crates/coordination/src/passthrough/agent/agent_lists.rs
+++ b/crates/coordination/src/passthrough/agent/agent_lists.rs
@@ -172,7 +172,13 @@
     pub(super) fn request_list(&mut self, now: Time, agent: Ipv4Addr) -> Option<Action> {
         let is_requested =
             agent != self.identity.address && self.known_lists.should_request(now, agent);
-        is_requested.then_some(Action::RequestAgentList { to: agent })
+        let request = AgentListRequest {
+            agent: self.identity.address,
+        };
+        is_requested.then_some(Action::Send {
+            to: agent,
+            message: PeerMessage::AgentListRequest(request),
+        })
     }
 
     /// Returns the request for the list of an agent of the service whose list was not requested a short
--- a/crates/coordination/src/passthrough/agent/flows.rs
+++ b/crates/coordination/src/passthrough/agent/flows.rs
@@ -2,7 +2,7 @@
 
 use {
     cardamomloom_core::Time,
-    cardamomloom_protocol::passthrough::{FlowId, RelayHeader},
+    cardamomloom_protocol::passthrough::{FlowId, RelayHeader, Segment},
     std::{
         collections::{BTreeSet, HashMap},
         net::{Ipv4Addr, SocketAddrV4},
@@ -228,3 +228,10 @@
         self.counts.waiting = self.counts.waiting + new.waiting - old.waiting;
     }
 }
+
+/// Closes a flow that `segment` resets, or that both ends have finished.
+pub(super) fn close_if_finished(entry: &mut LocalFlow, segment: &Segment) {
+    if segment.flags.is_rst || (entry.has_caller_fin && entry.has_server_fin) {
+        entry.phase = Phase::Closed;
+    }
+}
--- a/crates/coordination/src/passthrough/agent/mod.rs
+++ b/crates/coordination/src/passthrough/agent/mod.rs
@@ -28,10 +28,10 @@
     agent_lists::KnownLists,
     cardamomloom_core::{DomainName, ServiceName, Span, Time},
     cardamomloom_protocol::passthrough::{
-        FlowAbsence, FlowId, HostAdvertisement, HostReportState, RelayHeader, RelayKind, RunId,
-        Segment, ServiceAbsence, ServiceTag,
+        FlowAbsence, FlowId, HostAdvertisement, HostReportState, PeerMessage, RelayHeader,
+        RelayKind, RunId, Segment, ServiceTag,
     },
-    flows::{FlowTable, LocalFlow, Phase},
+    flows::{FlowTable, LocalFlow, Phase, close_if_finished},
     host::{ColdStartBucket, Host},
     lookup::OwnerLookups,
     outcomes::outcome_of,
@@ -138,17 +138,12 @@
         /// Next sequence number that the caller expects.
         sequence: u32,
     },
-    /// Informs the balancer that no host of this service holds a flow.
-    ReportServiceAbsence {
-        /// Address of the balancer.
-        to: Ipv4Addr,
-        /// The statement.
-        absence: ServiceAbsence,
-    },
-    /// Requests the list of agents of another agent of the service.
-    RequestAgentList {
-        /// Address of the agent.
+    /// Sends a control message.
+    Send {
+        /// Address of the process.
         to: Ipv4Addr,
+        /// The message.
+        message: PeerMessage,
     },
     /// Drops the packet without an answer.
     Drop(DropReason),
@@ -501,10 +496,3 @@
 fn has_visited(header: &RelayHeader, agent: Ipv4Addr) -> bool {
     header.visited().contains(&agent)
 }
-
-/// Closes a flow that `segment` resets, or that both ends have finished.
-fn close_if_finished(entry: &mut LocalFlow, segment: &Segment) {
-    if segment.flags.is_rst || (entry.has_caller_fin && entry.has_server_fin) {
-        entry.phase = Phase::Closed;
-    }
-}
--- a/crates/coordination/src/passthrough/agent/segments.rs
+++ b/crates/coordination/src/passthrough/agent/segments.rs
@@ -8,8 +8,8 @@
     },
     cardamomloom_core::{Span, Time},
     cardamomloom_protocol::passthrough::{
-        FlowAbsence, FlowId, MAX_POSSIBLE_OWNERS, RelayHeader, RelayKind, RunId, Segment,
-        ServiceAbsence, ServiceTag,
+        FlowAbsence, FlowId, MAX_POSSIBLE_OWNERS, PeerMessage, RelayHeader, RelayKind, RunId,
+        Segment, ServiceAbsence, ServiceTag,
     },
     log::debug,
     std::{collections::BTreeSet, net::Ipv4Addr},
@@ -125,7 +125,8 @@
             }),
             LookupStep::ServiceLost(to) => {
                 let absence = self.service_absence(now, absence);
-                actions.extend(absence.map(|absence| Action::ReportServiceAbsence { to, absence }));
+                let message = absence.map(PeerMessage::ServiceAbsence);
+                actions.extend(message.map(|message| Action::Send { to, message }));
             }
             LookupStep::NeedsList => actions.extend(self.request_list(now, absence.agent)),
         }
--- a/crates/daemon/src/passthrough/agent.rs
+++ b/crates/daemon/src/passthrough/agent.rs
@@ -20,8 +20,7 @@
     cardamomloom_protocol::{
         forward::DatagramKey,
         passthrough::{
-            AgentListRequest, FlowOwner, PacketFormat, PeerMessage, RelayHeader, RelayKind, RunId,
-            Segment,
+            FlowOwner, PacketFormat, PeerMessage, RelayHeader, RelayKind, RunId, Segment,
         },
     },
     cardamomloom_transport::udp::{ReceiveBatch, SendBatch},
@@ -405,14 +404,7 @@
                 Action::ReportAbsence { to, absence } => {
                     control.send_one(to, PeerMessage::Absence(absence));
                 }
-                Action::ReportServiceAbsence { to, absence } => {
-                    control.send_one(to, PeerMessage::ServiceAbsence(absence));
-                }
-                Action::RequestAgentList { to } => {
-                    let agent = *self.own_address.ip();
-                    let request = AgentListRequest { agent };
-                    control.send_one(to, PeerMessage::AgentListRequest(request));
-                }
+                Action::Send { to, message } => control.send_one(to, message),
                 Action::Reset { flow, sequence } => {
                     metrics::counter!("cardamomloom_resets_total").increment(1);
                     let to = SocketAddrV4::new(*flow.caller.ip(), self.data_port);
@@ -432,8 +424,7 @@
             Action::ReturnToCaller { .. }
             | Action::AnnounceOwner { .. }
             | Action::ReportAbsence { .. }
-            | Action::ReportServiceAbsence { .. }
-            | Action::RequestAgentList { .. } => return,
+            | Action::Send { .. } => return,
             // An owner lookup reaches every agent of a service, and at most one owns the flow.
             Action::Deliver | Action::DeliverBuffered(_) | Action::Drop(DropReason::NotOwner) => {
                 &mut self.sample_log
@@ -477,8 +468,7 @@
             Action::ReturnToCaller { .. }
             | Action::AnnounceOwner { .. }
             | Action::ReportAbsence { .. }
-            | Action::ReportServiceAbsence { .. }
-            | Action::RequestAgentList { .. } => {}
+            | Action::Send { .. } => {}
         }
     }
 
--- a/crates/standins/src/passthrough/simulation/events.rs
+++ b/crates/standins/src/passthrough/simulation/events.rs
@@ -16,8 +16,8 @@
     cardamomloom_protocol::{
         forward::DatagramKey,
         passthrough::{
-            AgentListRequest, FlowId, FlowOwner, HostReport, HostReportState, PacketFormat,
-            PeerMessage, RelayHeader, Segment, seal,
+            FlowId, FlowOwner, HostReport, HostReportState, PacketFormat, PeerMessage, RelayHeader,
+            Segment, seal,
         },
     },
     rand::RngExt,
@@ -339,12 +339,7 @@
                     let event = Event::ControlMessage(to, PeerMessage::Absence(absence));
                     self.send_between(agent, to, event);
                 }
-                Action::ReportServiceAbsence { to, absence } => {
-                    let message = PeerMessage::ServiceAbsence(absence);
-                    self.send_between(agent, to, Event::ControlMessage(to, message));
-                }
-                Action::RequestAgentList { to } => {
-                    let message = PeerMessage::AgentListRequest(AgentListRequest { agent });
+                Action::Send { to, message } => {
                     self.send_between(agent, to, Event::ControlMessage(to, message));
                 }
                 Action::Reset { flow, sequence } => self.send_reset(&flow, sequence),
