--- a/crates/coordination/src/passthrough/balancer/mod.rs
+++ b/crates/coordination/src/passthrough/balancer/mod.rs
@@ -4,6 +4,7 @@
 mod control;
 mod copies;
 mod discovery;
+mod fleet_age;
 mod host_list;
 mod load;
 mod lost_flows;
@@ -168,6 +169,7 @@
     placement_counts: PlacementCounts,
     outages: ServiceOutages,
     lost_flows: lost_flows::LostFlows,
+    fleet_age: fleet_age::FleetAge,
     reader_election: ReaderElection,
     loads: LoadView,
     load_exchange: load::LoadExchange,
@@ -201,6 +203,7 @@
             placement_counts: PlacementCounts::default(),
             outages: ServiceOutages::new(options.refuse_after),
             lost_flows: lost_flows::LostFlows::default(),
+            fleet_age: fleet_age::FleetAge::default(),
             reader_election: ReaderElection::new(options.store_access, own_address, now),
             loads: LoadView::new(LoadViewOptions::default()),
             load_exchange: load::LoadExchange::default(),
@@ -254,9 +257,11 @@
     /// Forwards a packet of an open flow to the preferred host of each service that may own the flow.
     /// The agents that receive it look up the owner among the hosts of their service.
     fn forward_to_possible_owners(&mut self, now: Time, segment: &Segment) -> ForwardingDecision {
+        // A retransmission goes to other agents, in case those before cannot look up the owner.
+        let retransmissions = self.on_unknown_owner(now, segment);
         let services = self.possible_owners(now, segment.destination);
         let is_shared = services.len() > 1;
-        let hash = flow_hash(&segment.flow_from_caller());
+        let hash = flow_hash(&segment.flow_from_caller()).rotate_left(retransmissions);
         let mut copies: Vec<(Ipv4Addr, RelayHeader)> = services
             .iter()
             .filter_map(|service| {
@@ -273,9 +278,6 @@
                 (placement.agent, header)
             })
             .collect();
-        if is_shared {
-            self.on_copied_packet(now, segment);
-        }
         match copies.len() {
             0 => ForwardingDecision::Drop(DropReason::NoHost),
             1 => {
