Copies of the catalogue in the format that the receiver reads

Routes have two more fields, which the previous release cannot decode in a copy, and a process of this release could not read a copy of the previous one. Requests for copies name format 2, and the answer is in that format or an older one: format 1 for a process that names none. Both are read; a catalogue from format 1 has both times 0. Requests name the present version as base, which the previous release refuses without a copy.

--- a/crates/coordination/src/passthrough/agent/copies.rs
+++ b/crates/coordination/src/passthrough/agent/copies.rs
@@ -3,7 +3,7 @@
 
 use {
     super::Agent,
-    crate::passthrough::{CopyOutcome, CopyRequest, CopyResponse},
+    crate::passthrough::{CopyOutcome, CopyQuery, CopyRequest, CopyResponse},
     cardamomloom_core::{Span, Time, error::Error},
     cardamomloom_protocol::passthrough::{CatalogueVersion, Snapshot},
     std::net::Ipv4Addr,
@@ -30,7 +30,8 @@
     pub fn on_snapshot(&mut self, now: Time, snapshot: Snapshot) {
         self.control.has_snapshot = true;
         self.control.snapshot_source = None;
-        if let Some(document) = snapshot.catalogue {
+        let document = snapshot.catalogue;
+        if let Some(document) = document.and_then(|document| self.catalogue.on_snapshot(document)) {
             self.on_catalogue(now, document);
         }
         if let Some(status) = snapshot.domain_status {
@@ -76,8 +77,8 @@
         &mut self,
         now: Time,
         receiver: Ipv4Addr,
-        base: CatalogueVersion,
+        query: impl Into<CopyQuery>,
     ) -> Result<CopyResponse> {
-        self.catalogue.copy_for(now, receiver, base)
+        self.catalogue.copy_for(now, receiver, query)
     }
 }
--- a/crates/coordination/src/passthrough/balancer/copies.rs
+++ b/crates/coordination/src/passthrough/balancer/copies.rs
@@ -3,7 +3,7 @@
 
 use {
     super::Balancer,
-    crate::passthrough::{CopyOutcome, CopyRequest, CopyResponse, OutgoingMessage},
+    crate::passthrough::{CopyOutcome, CopyQuery, CopyRequest, CopyResponse, OutgoingMessage},
     cardamomloom_core::{Span, Time, error::Error},
     cardamomloom_protocol::passthrough::{CatalogueVersion, Snapshot},
     std::net::Ipv4Addr,
@@ -40,7 +40,8 @@
     /// Applies the snapshot of a peer. Returns the messages that announce changes.
     pub fn on_snapshot(&mut self, now: Time, snapshot: Snapshot) -> Vec<OutgoingMessage> {
         let mut outgoing = Vec::new();
-        if let Some(document) = snapshot.catalogue {
+        let document = snapshot.catalogue;
+        if let Some(document) = document.and_then(|document| self.catalogue.on_snapshot(document)) {
             outgoing.extend(self.on_catalogue(now, document));
         }
         if let Some(status) = snapshot.domain_status {
@@ -130,8 +131,8 @@
         &mut self,
         now: Time,
         receiver: Ipv4Addr,
-        base: CatalogueVersion,
+        query: impl Into<CopyQuery>,
     ) -> Result<CopyResponse> {
-        self.catalogue.copy_for(now, receiver, base)
+        self.catalogue.copy_for(now, receiver, query)
     }
 }
--- a/crates/coordination/src/passthrough/catalogue/copies.rs
+++ b/crates/coordination/src/passthrough/catalogue/copies.rs
@@ -2,10 +2,12 @@
 
 use {
     super::CatalogueView,
-    crate::passthrough::{CopyOutcome, CopyRequest, CopyResponse},
+    crate::passthrough::{CopyOutcome, CopyQuery, CopyRequest, CopyResponse},
     cardamomloom_core::{Time, error::Error},
-    cardamomloom_protocol::passthrough::{CatalogueCopy, CatalogueDocument, CatalogueVersion},
-    log::warn,
+    cardamomloom_protocol::passthrough::{
+        CatalogueCopy, CatalogueDocument, CatalogueVersion, CopyFormat, RouteEntry,
+    },
+    log::{info, warn},
     std::net::Ipv4Addr,
 };
 
@@ -13,15 +15,19 @@
 type Result<T> = std::result::Result<T, Error>;
 
 impl CatalogueView {
-    /// Returns the next request of the process at `own_address` for a copy of a newer version, if one is
-    /// due. Its outcome must be passed to [`Self::on_copy`].
+    /// Returns the next request of the process at `own_address` for a copy of a newer version, or of the
+    /// present one with times if this replica lacks them, if one is due. Its outcome must be passed to [`Self::on_copy`].
     pub fn next_copy_request(&mut self, now: Time, own_address: Ipv4Addr) -> Option<CopyRequest> {
         let version = self.version();
-        self.copy_requests.next(now, own_address, version)
+        let newer = self.copy_requests.next(now, own_address, version);
+        if newer.is_some() || !self.lacks_times() {
+            return newer;
+        }
+        self.times_requests.next(now, own_address, version)
     }
 
     /// Processes the outcome of a request to `peer` of the process at `own_address`. Returns the newer
-    /// catalogue if the peer sent one.
+    /// catalogue, or the present one with times, if the peer sent one.
     pub fn on_copy(
         &mut self,
         now: Time,
@@ -34,14 +40,26 @@
             return None;
         };
         let present = (self.version(), self.document.as_ref());
-        let document = CatalogueCopy::decode(encoded).and_then(|copy| {
+        let lacks_times = self.lacks_times();
+        let document = CopyFormat::of(encoded).and_then(|format| {
+            let copy = CatalogueCopy::decode(encoded)?;
             // Another transfer, or the store, may have been faster.
             let is_newer = copy.version() > present.0;
-            is_newer.then(|| copy.apply(present.1)).transpose()
+            let has_times = lacks_times
+                && copy.version() == present.0
+                && format == CopyFormat::WithTimes
+                && matches!(copy, CatalogueCopy::Full(_));
+            let needed = (is_newer || has_times).then(|| copy.apply_as(format, present.1));
+            Ok((format, needed.transpose()?))
         });
         match document {
-            Ok(document) => {
+            Ok((format, document)) => {
                 self.copy_requests.on_ended(now, own_address, peer, outcome);
+                if format == CopyFormat::WithoutTimes
+                    && let Some(document) = &document
+                {
+                    self.without_times = document.version;
+                }
                 document
             }
             Err(error) => {
@@ -67,9 +85,45 @@
         &mut self,
         now: Time,
         receiver: Ipv4Addr,
-        base: CatalogueVersion,
+        query: impl Into<CopyQuery>,
     ) -> Result<CopyResponse> {
+        let mut query = query.into();
+        if self.lacks_times() {
+            query.format = CopyFormat::WithoutTimes;
+        }
         let document = self.document.as_ref();
-        self.copy_server.respond(now, receiver, base, document)
+        self.copy_server.respond(now, receiver, query, document)
+    }
+
+    /// Processes the catalogue in the snapshot of a peer, which only releases without copies send.
+    /// Returns it if it is newer than this replica.
+    pub fn on_snapshot(&mut self, document: CatalogueDocument) -> Option<CatalogueDocument> {
+        if self.document.is_some() && document.version <= self.version() {
+            return None;
+        }
+        let has_times = |route: &RouteEntry| route.latency_goal_ms > 0 || route.timeout_ms > 0;
+        if !document.routes.iter().any(has_times) {
+            self.without_times = document.version;
+        }
+        Some(document)
+    }
+
+    /// Returns whether this replica arrived without the times of its routes, from a process of the
+    /// previous release.
+    #[must_use]
+    pub fn lacks_times(&self) -> bool {
+        self.document.is_some() && self.without_times == self.version()
+    }
+
+    /// Replaces a replica without times by the same version with times.
+    pub(super) fn add_times(&mut self, document: CatalogueDocument) {
+        info!(
+            event = "catalogue_times", version:% = document.version;
+            "latency goals and timeouts of the catalogue are known"
+        );
+        self.copy_server.on_change(None, &document);
+        self.without_times = CatalogueVersion::default();
+        self.times_requests.clear();
+        self.replace_document(document);
     }
 }
--- a/crates/coordination/src/passthrough/catalogue/lag.rs
+++ b/crates/coordination/src/passthrough/catalogue/lag.rs
@@ -32,6 +32,9 @@
         interval: Span,
     ) -> bool {
         if version <= self.version() {
+            if version == self.version() && self.lacks_times() {
+                self.times_requests.observe(now, process);
+            }
             return false;
         }
         let ttl = Span(interval.0 * MAX_MISSED_ANNOUNCEMENTS).max(MIN_ANNOUNCEMENT_TTL);
--- a/crates/coordination/src/passthrough/catalogue/mod.rs
+++ b/crates/coordination/src/passthrough/catalogue/mod.rs
@@ -4,7 +4,7 @@
 mod lag;
 
 use {
-    super::{CopyRequests, CopyServer, flow_hash},
+    super::{CopyRequests, CopyServer, TimesRequests, flow_hash},
     cardamomloom_core::{DomainName, ServiceName, Span, Time},
     cardamomloom_protocol::passthrough::{
         BalancerHeartbeat, CatalogueDocument, CatalogueVersion, DomainStatus, FlowId, RouteEntry,
@@ -69,6 +69,9 @@
     is_reported_behind: bool,
     copy_server: CopyServer,
     copy_requests: CopyRequests,
+    /// Latest version that arrived without the times of its routes, or zero.
+    without_times: CatalogueVersion,
+    times_requests: TimesRequests,
 }
 
 /// Failure domains that were out of service before a restore of the store and that the store has not
@@ -101,11 +104,13 @@
         }
     }
 
-    /// Replaces and logs the catalogue if `document` has a newer version. Returns whether it was
-    /// replaced.
+    /// Replaces and logs the catalogue if `document` has a newer version. Returns whether it has. A
+    /// replica without times is replaced by the same version too.
     pub fn apply_document(&mut self, now: Time, document: CatalogueDocument) -> bool {
         if self.document.is_some() && document.version <= self.version() {
-            if document.version < self.version() {
+            if document.version == self.version() && self.lacks_times() {
+                self.add_times(document);
+            } else if document.version < self.version() {
                 info!(
                     event = "catalogue_outdated", version:% = document.version,
                     present_version:% = self.version();
@@ -116,18 +121,14 @@
         }
         self.copy_server
             .on_change(self.document.as_ref(), &document);
-        let previous = self.document.replace(document);
+        let previous = self.replace_document(document);
+        self.times_requests.clear();
         let announced_ago = self
             .announced
             .get(&self.version())
             .map(|announced_at| now.since(*announced_at));
         let version = self.version();
         self.announced.retain(|announced, _| *announced > version);
-        let routes = self.document.iter().flat_map(|document| &document.routes);
-        self.routes = (0..)
-            .zip(routes)
-            .map(|(index, route)| (route.address, index))
-            .collect();
         let previous_version = previous.as_ref().map(|document| document.version.0);
         self.update_former_targets(now, previous.map(|document| document.routes));
         info!(
@@ -139,6 +140,13 @@
         true
     }
 
+    /// Replaces the catalogue and the index of its routes. Returns the previous catalogue.
+    fn replace_document(&mut self, document: CatalogueDocument) -> Option<CatalogueDocument> {
+        let routes = document.routes.iter().map(|route| route.address);
+        self.routes = routes.zip(0..).collect();
+        self.document.replace(document)
+    }
+
     /// Records the targets of the routes before a change that the present routes do not have, and
     /// forgets those whose flows have ended.
     fn update_former_targets(&mut self, now: Time, previous_routes: Option<Vec<RouteEntry>>) {
--- a/crates/coordination/src/passthrough/mod.rs
+++ b/crates/coordination/src/passthrough/mod.rs
@@ -27,8 +27,8 @@
     peers::{PeerDirectory, PeerDirectoryOptions},
     rendezvous::{flow_hash, rendezvous_score},
     spread::{
-        CopyOutcome, CopyRequest, CopyRequestOptions, CopyRequests, CopyResponse, CopyServer,
-        CopyServerOptions,
+        CopyOutcome, CopyQuery, CopyRequest, CopyRequestOptions, CopyRequests, CopyResponse,
+        CopyServer, CopyServerOptions, TimesRequests,
     },
     store_access::{ReaderCensus, ReaderElection, StoreAccess, StoreAccessOptions, stagger},
 };
--- a/crates/coordination/src/passthrough/spread/mod.rs
+++ b/crates/coordination/src/passthrough/spread/mod.rs
@@ -8,10 +8,12 @@
 
 mod requests;
 mod server;
+mod times;
 
 pub use {
     requests::{CopyRequest, CopyRequestOptions, CopyRequests},
-    server::{CopyResponse, CopyServer, CopyServerOptions},
+    server::{CopyQuery, CopyResponse, CopyServer, CopyServerOptions},
+    times::TimesRequests,
 };
 
 use cardamomloom_protocol::passthrough::CopyRefusal;
--- a/crates/coordination/src/passthrough/spread/requests.rs
+++ b/crates/coordination/src/passthrough/spread/requests.rs
@@ -139,13 +139,19 @@
         peer: Ipv4Addr,
         outcome: &CopyOutcome,
     ) {
+        let transfers = self.transfers.len();
         self.transfers.retain(|transfer| transfer.peer != peer);
+        let is_own = self.transfers.len() < transfers;
         match outcome {
             CopyOutcome::Copy(_) => {
                 self.refusals = 0;
                 self.needs_whole = false;
             }
-            CopyOutcome::Refused(refusal) => self.on_refusal(now, own_address, peer, refusal),
+            // A refusal to send the times of the present version does not delay requests for a newer one.
+            CopyOutcome::Refused(refusal) if is_own => {
+                self.on_refusal(now, own_address, peer, refusal);
+            }
+            CopyOutcome::Refused(_) => {}
             CopyOutcome::Failed => {
                 if let Some(source) = self.sources.get_mut(&peer) {
                     source.usable_from = now + self.options.failure_backoff;
--- a/crates/coordination/src/passthrough/spread/server.rs
+++ b/crates/coordination/src/passthrough/spread/server.rs
@@ -4,7 +4,7 @@
     cardamomloom_core::{Span, Time, error::Error},
     cardamomloom_protocol::passthrough::{
         CatalogueCopy, CatalogueDigest, CatalogueDocument, CatalogueStep, CatalogueVersion,
-        CopyRefusal,
+        CopyFormat, CopyRefusal,
     },
     std::{
         collections::{BTreeMap, VecDeque},
@@ -41,6 +41,33 @@
     }
 }
 
+/// What a process that requests a copy has, and what it reads.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CopyQuery {
+    /// Version that the process has, or zero without a catalogue. A process that has the version of the
+    /// sender lacks the times of its routes.
+    pub base: CatalogueVersion,
+    /// Newest format that the process reads.
+    pub format: CopyFormat,
+}
+
+impl From<CatalogueVersion> for CopyQuery {
+    /// Returns the request of a process of this release.
+    fn from(base: CatalogueVersion) -> Self {
+        Self {
+            base,
+            format: CopyFormat::default(),
+        }
+    }
+}
+
+impl CopyQuery {
+    /// Returns whether the process needs a copy of a catalogue of this version.
+    fn needs(self, version: CatalogueVersion) -> bool {
+        version > self.base || (version == self.base && self.format == CopyFormat::WithTimes)
+    }
+}
+
 /// Answer to a request for a copy.
 #[derive(Clone, Debug)]
 pub enum CopyResponse {
@@ -56,8 +83,8 @@
     options: CopyServerOptions,
     /// Consecutive changes, the last of which leads to the present version.
     steps: VecDeque<CatalogueStep>,
-    /// Encoded copies of the present version by the version of the receiver.
-    encoded: BTreeMap<CatalogueVersion, Arc<[u8]>>,
+    /// Encoded copies of the present version by format and the version of the receiver.
+    encoded: BTreeMap<(CopyFormat, CatalogueVersion), Arc<[u8]>>,
     /// Processes that the present version was sent to, the latest last.
     holders: VecDeque<Ipv4Addr>,
     /// Time at which the link has carried all copies, at the rate of the options.
@@ -84,7 +111,8 @@
         }
     }
 
-    /// Decides about the request of a process that has version `base`, or zero without a catalogue.
+    /// Decides about the request of a process. The format of `query` must be one in which this process
+    /// has `document`.
     ///
     /// # Errors
     ///
@@ -93,10 +121,11 @@
         &mut self,
         now: Time,
         receiver: Ipv4Addr,
-        base: CatalogueVersion,
+        query: impl Into<CopyQuery>,
         document: Option<&CatalogueDocument>,
     ) -> Result<CopyResponse> {
-        let Some(document) = document.filter(|document| document.version > base) else {
+        let query = query.into();
+        let Some(document) = document.filter(|document| query.needs(document.version)) else {
             return Ok(CopyResponse::Refused(CopyRefusal {
                 version: document
                     .map(|document| document.version)
@@ -114,9 +143,9 @@
                 retry_after_ms: as_millis_u32(Span(backlog.0 - self.options.max_backlog.0)),
             }));
         }
-        let encoded = match self.encoded.get(&base) {
+        let encoded = match self.encoded.get(&(query.format, query.base)) {
             Some(encoded) => encoded.clone(),
-            None => self.encode(base, document)?,
+            None => self.encode(query, document)?,
         };
         let duration = Span(encoded.len() as u64 * 1_000_000 / self.options.bytes_per_s);
         self.busy_until = self.busy_until.max(now) + duration;
@@ -131,7 +160,7 @@
     /// Encodes the changes since `base`, or the whole catalogue when they are not known.
     fn encode(
         &mut self,
-        base: CatalogueVersion,
+        CopyQuery { base, format }: CopyQuery,
         document: &CatalogueDocument,
     ) -> Result<Arc<[u8]>> {
         let first = self.steps.iter().position(|step| step.base == base);
@@ -139,16 +168,16 @@
         let (key, copy) = match first {
             Some(first) => {
                 let steps = self.steps.range(first..).cloned().collect();
-                let digest = CatalogueDigest::of(document)?;
+                let digest = CatalogueDigest::in_format(format, document)?;
                 (base, CatalogueCopy::Changes { steps, digest })
             }
-            None => match self.encoded.get(&whole) {
+            None => match self.encoded.get(&(format, whole)) {
                 Some(encoded) => return Ok(encoded.clone()),
                 None => (whole, CatalogueCopy::Full(document.clone())),
             },
         };
-        let encoded: Arc<[u8]> = copy.encode()?.into();
-        self.encoded.insert(key, encoded.clone());
+        let encoded: Arc<[u8]> = copy.encode_as(format)?.into();
+        self.encoded.insert((format, key), encoded.clone());
         Ok(encoded)
     }
 }
--- a/crates/daemon/src/passthrough/agent.rs
+++ b/crates/daemon/src/passthrough/agent.rs
@@ -173,10 +173,10 @@
             }
             Event::CopyRequest {
                 receiver,
-                base,
+                query,
                 reply,
             } => {
-                let response = self.agent.copy_for(now, receiver, base);
+                let response = self.agent.copy_for(now, receiver, query);
                 NodeRuntime::reply_copy(receiver, response, reply);
             }
             Event::StatusRequest(reply) => {
--- a/crates/daemon/src/passthrough/balancer.rs
+++ b/crates/daemon/src/passthrough/balancer.rs
@@ -154,10 +154,10 @@
             }
             Event::CopyRequest {
                 receiver,
-                base,
+                query,
                 reply,
             } => {
-                let response = self.balancer.copy_for(now, receiver, base);
+                let response = self.balancer.copy_for(now, receiver, query);
                 NodeRuntime::reply_copy(receiver, response, reply);
             }
             Event::StatusRequest(reply) => {
--- a/crates/daemon/src/passthrough/endpoints.rs
+++ b/crates/daemon/src/passthrough/endpoints.rs
@@ -12,10 +12,10 @@
         response::{IntoResponse, Response},
         routing::get,
     },
-    cardamomloom_coordination::passthrough::{CopyResponse, balancer::SnapshotContent},
+    cardamomloom_coordination::passthrough::{CopyQuery, CopyResponse, balancer::SnapshotContent},
     cardamomloom_core::error::{Error, io},
     cardamomloom_platform::reports::{Acknowledgment, ReportSink, readiness_router, report_router},
-    cardamomloom_protocol::passthrough::{CatalogueVersion, HostReport, Snapshot},
+    cardamomloom_protocol::passthrough::{CatalogueVersion, CopyFormat, HostReport, Snapshot},
     log::warn,
     metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle},
     serde::Deserialize,
@@ -53,15 +53,22 @@
         .map_err(|error| io(format!("metrics: cannot set histogram buckets: {error}")))?
         .install_recorder()
         .map_err(|error| io(format!("metrics: cannot install the recorder: {error}")))?;
-    let router = Router::new()
+    let router = process_router(events).merge(
+        Router::new()
+            .route("/metrics", get(render_metrics))
+            .with_state(metrics),
+    );
+    let address = SocketAddr::from((settings.address(), settings.http_port));
+    serve(address, router).await
+}
+
+/// Returns the endpoints that the actor of the process answers, for other processes and operators.
+pub fn process_router(events: mpsc::Sender<Event>) -> Router {
+    Router::new()
         .route("/snapshot", get(snapshot))
         .route("/catalogue", get(catalogue))
         .route("/status", get(status))
         .with_state(events)
-        .route("/metrics", get(render_metrics))
-        .with_state(metrics);
-    let address = SocketAddr::from((settings.address(), settings.http_port));
-    serve(address, router).await
 }
 
 async fn serve(address: SocketAddr, router: Router) -> Result<()> {
@@ -133,21 +140,26 @@
 
 /// Query of a request for a copy of the catalogue.
 #[derive(Debug, Deserialize)]
-struct CopyQuery {
+struct CatalogueQuery {
     /// Version that the receiver has, or zero.
     base: CatalogueVersion,
     /// Address of the receiver.
     receiver: Ipv4Addr,
+    /// Number of the newest format that the receiver reads. Processes of the previous release name none.
+    format: Option<u8>,
 }
 
 /// Answers with an encoded copy, or with 503 and a refusal as JSON.
 async fn catalogue(
     State(events): State<mpsc::Sender<Event>>,
-    Query(CopyQuery { base, receiver }): Query<CopyQuery>,
+    Query(query): Query<CatalogueQuery>,
 ) -> std::result::Result<Response, StatusCode> {
     let new_event = |reply| Event::CopyRequest {
-        receiver,
-        base,
+        receiver: query.receiver,
+        query: CopyQuery {
+            base: query.base,
+            format: CopyFormat::for_request(query.format),
+        },
         reply,
     };
     Ok(match request(&events, new_event).await? {
--- a/crates/daemon/src/passthrough/mod.rs
+++ b/crates/daemon/src/passthrough/mod.rs
@@ -5,7 +5,7 @@
 
 mod agent;
 mod balancer;
-mod endpoints;
+pub mod endpoints;
 mod log_limit;
 pub mod node;
 pub mod peer_client;
--- a/crates/daemon/src/passthrough/node.rs
+++ b/crates/daemon/src/passthrough/node.rs
@@ -12,7 +12,8 @@
     },
     crate::settings::{AnySettings, PassThroughRole, PassThroughSettings, load},
     cardamomloom_coordination::passthrough::{
-        CopyOutcome, CopyResponse, OutgoingMessage, StoreAccess, balancer::SnapshotContent,
+        CopyOutcome, CopyQuery, CopyResponse, OutgoingMessage, StoreAccess,
+        balancer::SnapshotContent,
     },
     cardamomloom_core::{
         Span, Time,
@@ -22,8 +23,8 @@
     cardamomloom_protocol::{
         forward::DatagramKey,
         passthrough::{
-            CatalogueDocument, CatalogueVersion, DomainStatus, FlowAbsence, FlowOwner, HostReport,
-            PeerMessage, Registration, Snapshot, StoreEra, open, seal,
+            CatalogueDocument, DomainStatus, FlowAbsence, FlowOwner, HostReport, PeerMessage,
+            Registration, Snapshot, StoreEra, open, seal,
         },
     },
     cardamomloom_transport::{clock::MonotonicClock, udp::ReceiveBatch},
@@ -89,8 +90,8 @@
     CopyRequest {
         /// Address of the peer.
         receiver: Ipv4Addr,
-        /// Version that the peer has, or zero.
-        base: CatalogueVersion,
+        /// Version that the peer has, and the format that it reads.
+        query: CopyQuery,
         /// Receives the answer.
         reply: oneshot::Sender<CopyResponse>,
     },
--- a/crates/daemon/src/passthrough/peer_client.rs
+++ b/crates/daemon/src/passthrough/peer_client.rs
@@ -4,7 +4,7 @@
     super::{Result, node::Event},
     cardamomloom_coordination::passthrough::{CopyOutcome, CopyRequest, balancer::SnapshotContent},
     cardamomloom_core::error::io,
-    cardamomloom_protocol::passthrough::{CopyRefusal, Snapshot},
+    cardamomloom_protocol::passthrough::{CopyFormat, CopyRefusal, Snapshot},
     log::{info, warn},
     reqwest::{RequestBuilder, StatusCode},
     std::{
@@ -92,7 +92,11 @@
     /// snapshot, which contains the catalogue.
     pub fn request_copy(&self, request: CopyRequest) {
         let CopyRequest { peer, base } = request;
-        let path = format!("catalogue?base={base}&receiver={}", self.own_address);
+        let path = format!(
+            "catalogue?base={base}&receiver={}&format={}",
+            self.own_address,
+            CopyFormat::default()
+        );
         let copy = self.get(peer, &path);
         let snapshot = self.get(peer, "snapshot");
         let events = self.events.clone();
--- a/crates/daemon/tests/peer_copies.rs
+++ b/crates/daemon/tests/peer_copies.rs
@@ -3,9 +3,11 @@
 //! request and is not reported, so that nobody else is asked.
 
 use {
-    axum::{Json, Router, http::StatusCode, response::IntoResponse, routing::get},
-    cardamomloom_coordination::passthrough::{CopyOutcome, CopyRequest},
-    cardamomloom_daemon::passthrough::{node::Event, peer_client::PeerClient},
+    axum::{Json, Router, extract::Query, http::StatusCode, response::IntoResponse, routing::get},
+    cardamomloom_coordination::passthrough::{CopyOutcome, CopyRequest, CopyResponse},
+    cardamomloom_daemon::passthrough::{
+        endpoints::process_router, node::Event, peer_client::PeerClient,
+    },
     cardamomloom_protocol::passthrough::{
         CatalogueDocument, CatalogueVersion, CopyRefusal, Snapshot,
     },
@@ -102,3 +104,48 @@
     let (_, outcome) = request_copy(port).await;
     assert_eq!(outcome, CopyOutcome::Failed);
 }
+
+/// Serves the endpoints of a process of this release, whose actor answers with the number of the format
+/// that it was asked for.
+async fn start_process() -> u16 {
+    let (events, mut inbox) = mpsc::channel(8);
+    tokio::spawn(async move {
+        while let Some(event) = inbox.recv().await {
+            let Event::CopyRequest { query, reply, .. } = event else {
+                panic!("unexpected event: {event:?}");
+            };
+            assert_eq!(query.base, CatalogueVersion(3));
+            let copy = [query.format.number()];
+            let _ = reply.send(CopyResponse::Copy(copy.as_slice().into()));
+        }
+    });
+    start_peer(process_router(events)).await
+}
+
+#[tokio::test]
+async fn verify_that_each_release_gets_the_format_that_it_reads() {
+    let port = start_process().await;
+    let (_, outcome) = request_copy(port).await;
+    assert_eq!(outcome, CopyOutcome::Copy(vec![2]));
+    // Request of the previous release, which names no format.
+    let path = format!("http://{PEER}:{port}/catalogue?base=3&receiver={PEER}");
+    let answer = reqwest::get(path).await.expect("an answer");
+    assert_eq!(answer.bytes().await.expect("a body").as_ref(), [1]);
+}
+
+#[tokio::test]
+async fn verify_that_the_previous_release_understands_the_request() {
+    // Query of the previous release.
+    #[derive(serde::Deserialize)]
+    struct PreviousQuery {
+        base: CatalogueVersion,
+        receiver: Ipv4Addr,
+    }
+    let endpoint = |Query(query): Query<PreviousQuery>| async move {
+        assert_eq!((query.base, query.receiver), (CatalogueVersion(3), PEER));
+        vec![1]
+    };
+    let router = Router::new().route("/catalogue", get(endpoint));
+    let (_, outcome) = request_copy(start_peer(router).await).await;
+    assert_eq!(outcome, CopyOutcome::Copy(vec![1]));
+}
--- a/crates/protocol/src/passthrough/copy.rs
+++ b/crates/protocol/src/passthrough/copy.rs
@@ -3,10 +3,13 @@
 //!
 //! An encoded copy is a byte that names the format, followed by the LZ4 block of the postcard encoding of
 //! a [`CatalogueCopy`]. The encoding depends on the order of fields and variants; a change of it needs
-//! another [`COPY_FORMAT`].
+//! another [`CopyFormat`].
 
 use {
-    super::{CatalogueDocument, CatalogueVersion, RouteEntry, ServiceEntry},
+    super::{
+        CatalogueDocument, CatalogueVersion, CopyFormat, RouteEntry, ServiceEntry,
+        copy_format::{CopyWithoutTimes, DocumentWithoutTimes},
+    },
     cardamomloom_core::error::{Error, malformed},
     lz4_flex::block,
     serde::{Deserialize, Serialize},
@@ -19,8 +22,8 @@
 /// Result of decoding or applying a copy.
 pub type Result<T> = std::result::Result<T, Error>;
 
-/// Number of the format of encoded copies.
-pub const COPY_FORMAT: u8 = 2;
+/// Number of the newest format of encoded copies.
+pub const COPY_FORMAT: u8 = CopyFormat::WithTimes.number();
 
 /// Largest decompressed size of a copy in bytes. An object of the store has at most 1 MiB, as JSON.
 const MAX_COPY_BYTES: usize = 8 << 20;
@@ -42,8 +45,23 @@
     ///
     /// Fails with kind `malformed` when the catalogue cannot be encoded.
     pub fn of(document: &CatalogueDocument) -> Result<Self> {
+        Self::in_format(CopyFormat::default(), document)
+    }
+
+    /// Returns the digest of a catalogue, as a process that reads copies in `format` computes it.
+    ///
+    /// # Errors
+    ///
+    /// Fails with kind `malformed` when the catalogue cannot be encoded.
+    pub fn in_format(format: CopyFormat, document: &CatalogueDocument) -> Result<Self> {
+        let encoded = match format {
+            CopyFormat::WithoutTimes => {
+                encode_postcard(&DocumentWithoutTimes::from(document.clone()))?
+            }
+            CopyFormat::WithTimes => encode_postcard(document)?,
+        };
         let mut hasher = SipHasher24::new();
-        hasher.write(&encode_postcard(document)?);
+        hasher.write(&encoded);
         Ok(Self(hasher.finish()))
     }
 }
@@ -206,27 +224,39 @@
         }
     }
 
-    /// Encodes the copy.
+    /// Encodes the copy in the newest format.
     ///
     /// # Errors
     ///
     /// Fails with kind `malformed` when the copy cannot be encoded.
     pub fn encode(&self) -> Result<Vec<u8>> {
-        let mut encoded = vec![COPY_FORMAT];
-        encoded.extend(block::compress_prepend_size(&encode_postcard(self)?));
+        self.encode_as(CopyFormat::default())
+    }
+
+    /// Encodes the copy in a format. The digest of changes must be one in the same format.
+    ///
+    /// # Errors
+    ///
+    /// Fails with kind `malformed` when the copy cannot be encoded.
+    pub fn encode_as(&self, format: CopyFormat) -> Result<Vec<u8>> {
+        let plain = match format {
+            CopyFormat::WithoutTimes => encode_postcard(&CopyWithoutTimes::from(self.clone()))?,
+            CopyFormat::WithTimes => encode_postcard(self)?,
+        };
+        let mut encoded = vec![format.number()];
+        encoded.extend(block::compress_prepend_size(&plain));
         Ok(encoded)
     }
 
-    /// Decodes a copy.
+    /// Decodes a copy in any known format. Routes have no times in a copy of a format without them.
     ///
     /// # Errors
     ///
     /// Fails with kind `malformed` when the format is unknown, the copy is too large, or it cannot be
     /// decoded.
     pub fn decode(encoded: &[u8]) -> Result<Self> {
-        let Some((&COPY_FORMAT, compressed)) = encoded.split_first() else {
-            return Err(malformed("catalogue: copy of an unknown format"));
-        };
+        let format = CopyFormat::of(encoded)?;
+        let compressed = encoded.get(1..).unwrap_or_default();
         let invalid = |error: &dyn fmt::Display| malformed(format!("catalogue: copy: {error}"));
         let (size, block) =
             block::uncompressed_size(compressed).map_err(|error| invalid(&error))?;
@@ -236,17 +266,38 @@
             )));
         }
         let decompressed = block::decompress(block, size).map_err(|error| invalid(&error))?;
-        postcard::from_bytes(&decompressed).map_err(|error| invalid(&error))
+        let decoded = match format {
+            CopyFormat::WithoutTimes => {
+                postcard::from_bytes(&decompressed).map(|copy: CopyWithoutTimes| copy.into())
+            }
+            CopyFormat::WithTimes => postcard::from_bytes(&decompressed),
+        };
+        decoded.map_err(|error| invalid(&error))
+    }
+
+    /// Returns the catalogue that a copy in the newest format describes. `base` is the present catalogue
+    /// of the receiver; changes before its version are skipped.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the same errors as [`Self::apply_as`].
+    pub fn apply(self, base: Option<&CatalogueDocument>) -> Result<CatalogueDocument> {
+        self.apply_as(CopyFormat::default(), base)
     }
 
-    /// Returns the catalogue that the copy describes. `base` is the present catalogue of the receiver;
-    /// changes before its version are skipped.
+    /// Returns the catalogue that a copy in `format` describes. `base` is the present catalogue of the
+    /// receiver; changes before its version are skipped. Without times in the format no route has any,
+    /// because the times of a route that the sender kept may have changed.
     ///
     /// # Errors
     ///
     /// Fails with kind `malformed` when changes do not apply to `base`, or the result has another
     /// digest than the sender's catalogue.
-    pub fn apply(self, base: Option<&CatalogueDocument>) -> Result<CatalogueDocument> {
+    pub fn apply_as(
+        self,
+        format: CopyFormat,
+        base: Option<&CatalogueDocument>,
+    ) -> Result<CatalogueDocument> {
         let (steps, digest) = match self {
             Self::Full(document) => return Ok(document),
             Self::Changes { steps, digest } => (steps, digest),
@@ -256,15 +307,20 @@
         for step in steps.iter().skip_while(|step| step.base != base.version) {
             document = Some(step.apply(document.as_ref().unwrap_or(base))?);
         }
-        let document =
+        let mut document =
             document.ok_or_else(|| malformed("catalogue: copy without changes of the base"))?;
-        let present = CatalogueDigest::of(&document)?;
+        let present = CatalogueDigest::in_format(format, &document)?;
         if present != digest {
             return Err(malformed(format!(
                 "catalogue: digest {present} after the changes to version {}, expected {digest}",
                 document.version
             )));
         }
+        if format == CopyFormat::WithoutTimes {
+            for route in &mut document.routes {
+                (route.latency_goal_ms, route.timeout_ms) = (0, 0);
+            }
+        }
         Ok(document)
     }
 }
--- a/crates/protocol/src/passthrough/mod.rs
+++ b/crates/protocol/src/passthrough/mod.rs
@@ -2,6 +2,7 @@
 //! packets without changing them.
 
 mod copy;
+mod copy_format;
 mod document;
 mod header;
 mod load;
@@ -10,6 +11,7 @@
 
 pub use {
     copy::{COPY_FORMAT, CatalogueCopy, CatalogueDigest, CatalogueStep, CopyRefusal, RouteEdit},
+    copy_format::CopyFormat,
     document::{
         CatalogueDocument, CatalogueVersion, DomainStatus, HostReport, HostReportState,
         Registration, RouteEntry, RouteTarget, ServiceEntry, StoreEra, StorePosition,
