Metrics of the load view

Agents publish cardamomloom_expected_wait_seconds, cardamomloom_work_time_seconds and cardamomloom_callers_in_progress, balancers cardamomloom_known_loads, while load control is on. The log event load_view, which balancers already write, tells when the loads of a service become known or unknown.

--- a/crates/daemon/src/passthrough/agent.rs
+++ b/crates/daemon/src/passthrough/agent.rs
@@ -4,6 +4,7 @@
 use {
     super::{
         Result,
+        load_metrics::publish_host_load,
         log_limit::LogRateLimiter,
         node::{Event, NodeRuntime, TICK, run_loop},
         registry,
@@ -367,6 +368,7 @@
             .absolute(answered);
         metrics::counter!("cardamomloom_outcomes_total", "outcome" => "failed").absolute(failed);
         metrics::gauge!("cardamomloom_admitted_share").set(outcomes.admitted_share(now));
+        publish_host_load(&self.agent, now);
     }
 }
 
--- a/crates/daemon/src/passthrough/balancer.rs
+++ b/crates/daemon/src/passthrough/balancer.rs
@@ -4,6 +4,7 @@
 use {
     super::{
         Result,
+        load_metrics::publish_known_loads,
         log_limit::LogRateLimiter,
         node::{Event, NodeRuntime, TICK, run_loop},
         registry,
@@ -323,6 +324,7 @@
             .set_store_access(access, self.balancer.confirmed_ago(now));
         self.runtime.set_store_era(self.balancer.store_era());
         NodeRuntime::publish_catalogue_lag(self.balancer.behind_for(now));
+        publish_known_loads(&self.balancer, now);
         self.runtime
             .peers
             .fetch_snapshot(SnapshotContent::WithoutCatalogue, || {
--- a/crates/daemon/src/passthrough/mod.rs
+++ b/crates/daemon/src/passthrough/mod.rs
@@ -6,6 +6,7 @@
 mod agent;
 mod balancer;
 mod endpoints;
+mod load_metrics;
 mod log_limit;
 pub mod node;
 pub mod peer_client;
