--- a/crates/coordination/src/passthrough/balancer/load.rs
+++ b/crates/coordination/src/passthrough/balancer/load.rs
@@ -8,8 +8,8 @@
     },
     cardamomloom_core::{ServiceName, Span, Time},
     cardamomloom_protocol::passthrough::{
-        Announcement, HostLoad, LoadHeartbeat, MAX_PEER_LOADS, PeerLoad, PeerLoads, PeerMessage,
-        ServiceTag, ServiceWait,
+        Announcement, HostLoad, LoadHeartbeat, MAX_PEER_LOADS, PeerLoad, PeerLoads, ServiceTag,
+        ServiceWait,
     },
     log::info,
     std::{collections::HashMap, net::Ipv4Addr},
@@ -25,14 +25,23 @@
 /// Age up to which a load is told to agents, which keep it for 3 s.
 const MAX_TOLD_AGE: Span = Span::from_millis(1_500);
 
-/// Maximum rate of loads of hosts to agents. A balancer sends 2 KB/s of heartbeats and 0.5 KB/s of
-/// other answers; the limit of all control messages is 3 KB/s.
-const PEER_LOAD_BYTES_PER_S: u64 = 300;
+/// Maximum rate of the loads of hosts to agents. Other control messages of a balancer that does not read
+/// the store take less than 2 KB/s of the limit of 3 KB/s.
+const PEER_LOADS_BYTES_PER_S: u64 = 600;
 
-/// Time over which unused bytes accumulate, so that the loads of [`MAX_PEER_LOADS`] hosts fit once.
-const PEER_LOAD_BURST: Span = Span::from_millis(2_400);
+/// Maximum rate of the loads of hosts from a balancer that reads the store for more than
+/// [`MAX_PEERS_OF_SMALL_FLEET`] others, whose other messages take up to 2.7 KB/s with 22 balancers.
+const READER_PEER_LOADS_BYTES_PER_S: u64 = 200;
 
-/// Maximum encoded size of a [`PeerLoad`].
+/// Other balancers up to which the heartbeats of a store reader, two a second to each, take less than
+/// 1.4 KB/s.
+const MAX_PEERS_OF_SMALL_FLEET: usize = 15;
+
+/// Time over which unused bytes accumulate, so that the loads of [`MAX_PEER_LOADS`] hosts fit.
+const PEER_LOADS_BURST: Span = Span::from_millis(1_200);
+
+/// Encoded size of [`PeerLoads`] without hosts, and maximum size of each host.
+const PEER_LOADS_EMPTY_BYTES: u64 = 10;
 const PEER_LOAD_BYTES: u64 = 11;
 
 /// Least expected wait of a service, as the headers of its packets state it.
@@ -57,16 +66,17 @@
 }
 
 impl LoadExchange {
-    /// Returns the number of hosts whose loads may be sent now, at most `hosts`, and consumes their
-    /// bytes.
-    fn take_hosts(&mut self, now: Time, hosts: usize) -> usize {
-        self.budget_since = self.budget_since.max(now - PEER_LOAD_BURST);
-        let bytes = now.since(self.budget_since).0 * PEER_LOAD_BYTES_PER_S / 1_000_000;
-        let allowed = usize::try_from(bytes / PEER_LOAD_BYTES).unwrap_or(usize::MAX);
+    /// Returns the number of hosts whose loads may be sent now, at most `hosts`, and consumes the bytes
+    /// of the message. Returns `None` if not even a message without hosts may be sent.
+    fn take_hosts(&mut self, now: Time, bytes_per_s: u64, hosts: usize) -> Option<usize> {
+        self.budget_since = self.budget_since.max(now - PEER_LOADS_BURST);
+        let bytes = now.since(self.budget_since).0 * bytes_per_s / 1_000_000;
+        let host_bytes = bytes.checked_sub(PEER_LOADS_EMPTY_BYTES)?;
+        let allowed = usize::try_from(host_bytes / PEER_LOAD_BYTES).unwrap_or(usize::MAX);
         let taken = allowed.min(hosts).min(MAX_PEER_LOADS);
-        let used_us = taken as u64 * PEER_LOAD_BYTES * 1_000_000 / PEER_LOAD_BYTES_PER_S;
-        self.budget_since = self.budget_since + Span(used_us);
-        taken
+        let used_bytes = PEER_LOADS_EMPTY_BYTES + taken as u64 * PEER_LOAD_BYTES;
+        self.budget_since = self.budget_since + Span(used_bytes * 1_000_000 / bytes_per_s);
+        Some(taken)
     }
 }
 
@@ -99,10 +109,11 @@
         }
         let mut answer = self.on_agent_heartbeat(now, heartbeat);
         if uses_loads && heartbeat.asks_hosts.is_some() {
-            answer.push(OutgoingMessage {
+            let loads = self.peer_loads_for(now, heartbeat.agent);
+            answer.extend(loads.map(|loads| OutgoingMessage {
                 to: heartbeat.agent,
-                message: self.peer_loads_for(now, heartbeat.agent),
-            });
+                message: loads.into(),
+            }));
         }
         answer
     }
@@ -158,7 +169,9 @@
         }
     }
 
-    pub(super) const fn uses_loads(&self) -> bool {
+    /// Returns whether load control is on.
+    #[must_use]
+    pub const fn uses_loads(&self) -> bool {
         self.options.load_control.uses_loads()
     }
 
@@ -168,19 +181,22 @@
     }
 
     /// Returns the recent loads of other usable hosts of the service of an agent, as many as the limit
-    /// of the rate allows.
-    fn peer_loads_for(&mut self, now: Time, receiver: Ipv4Addr) -> PeerMessage {
-        let loads = self.hosts.get(receiver).map_or_else(Vec::new, |record| {
-            self.recent_loads(now, &record.announcement)
-        });
-        let first = self.load_exchange.turn % loads.len().max(1);
-        let count = self.load_exchange.take_hosts(now, loads.len());
-        self.load_exchange.turn = self.load_exchange.turn.wrapping_add(count);
+    /// of the rate allows, or `None` if it allows no message.
+    fn peer_loads_for(&mut self, now: Time, receiver: Ipv4Addr) -> Option<PeerLoads> {
+        let bytes_per_s = if self.is_reader(now) && self.peers.len() > MAX_PEERS_OF_SMALL_FLEET {
+            READER_PEER_LOADS_BYTES_PER_S
+        } else {
+            PEER_LOADS_BYTES_PER_S
+        };
+        let loads = self.recent_loads(now, &self.hosts.get(receiver)?.announcement);
+        let exchange = &mut self.load_exchange;
+        let count = exchange.take_hosts(now, bytes_per_s, loads.len())?;
+        let first = exchange.turn % loads.len().max(1);
+        exchange.turn = exchange.turn.wrapping_add(count);
         let selected = loads.iter().cycle().skip(first).take(count).copied();
-        PeerLoads {
+        Some(PeerLoads {
             loads: selected.collect(),
-        }
-        .into()
+        })
     }
 
     fn recent_loads(&self, now: Time, receiver: &Announcement) -> Vec<PeerLoad> {
