Feed the work time estimator of an agent from the packets it relays

The order of new flows needs the work time of the host. Adds the field and the three hooks: a request, a response, and the end of a flow; the slots come from the reports.

--- a/crates/coordination/src/passthrough/agent/admission.rs
+++ b/crates/coordination/src/passthrough/agent/admission.rs
@@ -36,6 +36,7 @@
             },
         );
         entry.owner_notice_receivers = previous_hops(header);
+        entry.syn_delivered_at = Some(now);
         self.flows.insert(flow, entry);
         self.syn_deadlines
             .push_back((now + self.options.syn_timeout, flow));
--- a/crates/coordination/src/passthrough/agent/control.rs
+++ b/crates/coordination/src/passthrough/agent/control.rs
@@ -69,6 +69,7 @@
         }
         self.unanswered_since = None;
         self.awaits_report = false;
+        self.work_times.set_slots(report.slots as usize);
         let Some(host) = &mut self.host else {
             self.host = Some(Host::new(now, report));
             // The first report of a run shows that no flow is older than this process.
@@ -91,6 +92,7 @@
                 self.new_server_reported_at = is_new_run(report).then_some(now);
                 self.cold_start_bucket = ColdStartBucket::empty(now);
                 self.outcomes.reset();
+                self.work_times.reset();
                 self.reset_flows(previous_report, actions);
             }
             ReportOutcome::Changed => {}
--- a/crates/coordination/src/passthrough/agent/flows.rs
+++ b/crates/coordination/src/passthrough/agent/flows.rs
@@ -57,6 +57,8 @@
     pub is_waiting: bool,
     /// Time of the SYN or the first data of the latest request.
     pub waiting_since: Time,
+    /// Time at which the SYN was delivered, until the first data of the first request.
+    pub syn_delivered_at: Option<Time>,
     /// Whether the flow has been idle for so long that it no longer counts as active. The backend
     /// server may still hold it.
     pub is_dormant: bool,
@@ -76,6 +78,7 @@
             caller_acknowledgment: None,
             has_caller_fin: false,
             has_server_fin: false,
+            syn_delivered_at: None,
             is_dormant: false,
             owner_notice_receivers: Vec::new(),
         }
--- a/crates/coordination/src/passthrough/agent/mod.rs
+++ b/crates/coordination/src/passthrough/agent/mod.rs
@@ -23,7 +23,7 @@
 };
 
 use {
-    super::{CatalogueOptions, CatalogueView, FlowCache, PeerDirectory},
+    super::{CatalogueOptions, CatalogueView, FlowCache, PeerDirectory, load::WorkTimeEstimator},
     cardamomloom_core::{DomainName, ServiceName, Span, Time},
     cardamomloom_protocol::passthrough::{
         FlowAbsence, FlowId, HostAdvertisement, HostReportState, RelayHeader, RelayKind, RunId,
@@ -171,6 +171,8 @@
     awaits_report: bool,
     syn_queue: SynQueue,
     outcomes: OutcomeTracker,
+    /// Work time of the backend server per request.
+    work_times: WorkTimeEstimator,
     /// Agents that own flows of other hosts.
     owner_cache: FlowCache<Ipv4Addr>,
     lookups: OwnerLookups,
@@ -214,6 +216,7 @@
             awaits_report: false,
             syn_queue: SynQueue::new(options.syn_queue_capacity),
             outcomes: OutcomeTracker::new(options.outcomes),
+            work_times: WorkTimeEstimator::new(0),
             owner_cache: FlowCache::new(options.owner_cache_capacity, options.owner_cache_ttl),
             lookups: OwnerLookups::default(),
             service_hosts: Vec::new(),
@@ -280,6 +283,7 @@
             entry.has_server_fin |= segment.flags.is_fin;
             let is_response = segment.payload_bytes > 0 || segment.flags.is_rst;
             if is_response && std::mem::take(&mut entry.is_waiting) {
+                self.work_times.on_response(now, &flow);
                 if segment.payload_bytes > 0 {
                     self.response_times.push(now.since(entry.waiting_since));
                 }
--- a/crates/coordination/src/passthrough/agent/segments.rs
+++ b/crates/coordination/src/passthrough/agent/segments.rs
@@ -37,13 +37,23 @@
                     entry.is_waiting = false;
                     self.outcomes.record(now, Outcome::Failed);
                 }
-                if segment.payload_bytes > 0 && !std::mem::replace(&mut entry.is_waiting, true) {
-                    entry.waiting_since = now;
+                if segment.payload_bytes > 0 {
+                    let is_first_request = entry.syn_delivered_at.take().is_some();
+                    let is_further_request = !std::mem::replace(&mut entry.is_waiting, true);
+                    if is_further_request {
+                        entry.waiting_since = now;
+                    }
+                    if is_first_request || is_further_request {
+                        self.work_times.on_request(now, flow);
+                    }
                 }
                 if segment.flags.is_ack {
                     entry.caller_acknowledgment = Some(segment.acknowledgment);
                 }
                 close_if_finished(entry, segment);
+                if matches!(entry.phase, Phase::Closed) {
+                    self.work_times.remove(now, &flow);
+                }
             });
             actions.push(Action::Deliver);
             let receivers = previous_hops(header).into_iter();
