--- a/crates/standins/src/passthrough/simulation/mod.rs
+++ b/crates/standins/src/passthrough/simulation/mod.rs
@@ -6,7 +6,9 @@
 mod faults;
 mod layout;
 mod links;
+mod requests;
 
+pub use requests::RequestRecord;
 use {
     super::{
         Caller, CallerOptions, CallerOutcome, FlowCounters, HostModel, HostOptions, Oracle,
@@ -20,9 +22,12 @@
     cardamomloom_core::{DomainName, Span, Time},
     cardamomloom_protocol::passthrough::{
         CatalogueDocument, DomainStatus, FlowId, HostReportState, PeerMessage, RelayHeader,
-        RouteTarget, StoreEra, StoreRevision,
+        RouteTarget, ServiceWait, StoreEra, StoreRevision,
+    },
+    layout::{
+        agent_address, balancer_address, initial_catalogue, server_address, service_route,
+        urgent_route,
     },
-    layout::{agent_address, balancer_address, initial_catalogue, server_address, service_route},
     links::Links,
     rand::{RngExt, SeedableRng},
     rand_chacha::ChaCha8Rng,
@@ -61,6 +66,12 @@
     pub seed: u64,
     /// Options of every agent.
     pub agent: AgentOptions,
+    /// Latency goal of all routes; with one, each service also has an urgent route. Zero for none.
+    pub latency_goal: Span,
+    /// Timeout of all routes; zero for none.
+    pub timeout: Span,
+    /// Whether balancers state the least expected wait of the service, at most 250 ms old.
+    pub states_service_wait: bool,
 }
 
 impl Default for SimulationOptions {
@@ -78,6 +89,9 @@
             link_bytes_per_s: 0,
             seed: 1,
             agent: AgentOptions::default(),
+            latency_goal: Span::ZERO,
+            timeout: Span::ZERO,
+            states_service_wait: false,
         }
     }
 }
@@ -117,7 +131,9 @@
     SynTimer(Ipv4Addr, u64),
     Tick(Ipv4Addr, u64),
     Report(Ipv4Addr, u64),
-    OpenFlow(u8, CallerOptions),
+    OpenFlow(SocketAddrV4, CallerOptions),
+    /// Opens a further flow for the requests of one that ended.
+    Retry(FlowId, Time, CallerOptions),
     Probe,
 }
 
@@ -164,6 +180,8 @@
     agents: BTreeMap<Ipv4Addr, AgentProcess>,
     servers: BTreeMap<Ipv4Addr, Server>,
     callers: HashMap<FlowId, Caller>,
+    requests: requests::RequestLog,
+    service_waits: BTreeMap<u8, (Time, ServiceWait)>,
     catalogue: CatalogueDocument,
     domain_status: DomainStatus,
     is_store_up: bool,
@@ -211,6 +229,8 @@
             agents: BTreeMap::new(),
             servers: BTreeMap::new(),
             callers: HashMap::new(),
+            requests: requests::RequestLog::default(),
+            service_waits: BTreeMap::new(),
             catalogue: initial_catalogue(&options),
             domain_status: DomainStatus {
                 era: Some(StoreEra(1)),
@@ -341,10 +361,19 @@
 
     /// Schedules the new flows of a load at random times from now on.
     pub fn schedule_load(&mut self, load: Load) {
+        self.schedule_flows(service_route(load.service), load);
+    }
+
+    /// Schedules a load like [`Self::schedule_load`], to the urgent route of its service.
+    pub fn schedule_urgent_load(&mut self, load: Load) {
+        self.schedule_flows(urgent_route(load.service), load);
+    }
+
+    fn schedule_flows(&mut self, address: SocketAddrV4, load: Load) {
         let count = load.duration.0 * u64::from(load.flows_per_s) / 1_000_000;
         for _ in 0..count {
             let delay = Span(self.random.random_range(0..load.duration.0));
-            self.schedule(delay, Event::OpenFlow(load.service, load.caller));
+            self.schedule(delay, Event::OpenFlow(address, load.caller));
         }
     }
 
