--- a/crates/coordination/src/passthrough/agent/flows.rs
+++ b/crates/coordination/src/passthrough/agent/flows.rs
@@ -59,6 +59,8 @@
     pub is_waiting: bool,
     /// Time of the SYN or the first data of the latest request.
     pub waiting_since: Time,
+    /// Time at which the SYN was delivered, until the first data of the first request.
+    pub syn_delivered_at: Option<Time>,
     /// Whether the flow has been idle for so long that it no longer counts as active. The backend
     /// server may still hold it.
     pub is_dormant: bool,
@@ -73,6 +75,7 @@
             phase,
             opened: now,
             waiting_since: now,
+            syn_delivered_at: None,
             last_used: now,
             server_sequence: None,
             caller_acknowledgment: None,
--- a/crates/coordination/src/passthrough/agent/segments.rs
+++ b/crates/coordination/src/passthrough/agent/segments.rs
@@ -39,8 +39,14 @@
                     entry.is_waiting = false;
                     self.outcomes.record(now, Outcome::Failed);
                 }
-                if segment.payload_bytes > 0 && !std::mem::replace(&mut entry.is_waiting, true) {
-                    entry.waiting_since = now;
+                if segment.payload_bytes > 0 {
+                    if let Some(at) = entry.syn_delivered_at.take() {
+                        self.handshakes.record(now.since(at));
+                    }
+                    if !std::mem::replace(&mut entry.is_waiting, true) {
+                        entry.waiting_since = now;
+                        self.slot_demand.on_request(now);
+                    }
                 }
                 if segment.flags.is_ack {
                     entry.caller_acknowledgment = Some(segment.acknowledgment);
--- a/crates/coordination/src/passthrough/balancer/placement.rs
+++ b/crates/coordination/src/passthrough/balancer/placement.rs
@@ -4,7 +4,7 @@
     super::{Balancer, HostRecord, Placement, to_placement},
     crate::passthrough::{
         flow_hash,
-        load::{Candidate, NewFlow, PlacementPolicy, PlacementReason},
+        load::{Candidate, PlacementPolicy, PlacementReason, PlacementRequest},
         rendezvous_score,
     },
     cardamomloom_core::{DomainName, ServiceName, Time},
@@ -134,7 +134,7 @@
                 score: rendezvous_score(hash, record.announcement.agent),
             })
             .collect();
-        let flow = NewFlow {
+        let flow = PlacementRequest {
             service,
             hash,
             own_domain: self.preferred_domain(),
--- a/crates/coordination/src/passthrough/load/placement.rs
+++ b/crates/coordination/src/passthrough/load/placement.rs
@@ -43,7 +43,7 @@
 
 /// A new flow.
 #[derive(Clone, Copy, Debug)]
-pub struct NewFlow<'a> {
+pub struct PlacementRequest<'a> {
     /// Service that the flow is for.
     pub service: &'a ServiceName,
     /// Hash of the flow.
@@ -139,7 +139,7 @@
         &mut self,
         now: Time,
         view: &mut LoadView,
-        flow: &NewFlow,
+        flow: &PlacementRequest,
         candidates: &[Candidate],
     ) -> Option<Choice> {
         let offers = self.offers(now, view, flow, candidates);
@@ -185,7 +185,7 @@
     fn compare<'a>(
         &mut self,
         now: Time,
-        flow: &NewFlow,
+        flow: &PlacementRequest,
         here: Pair<'a>,
         there: Pair<'a>,
     ) -> (Pair<'a>, PlacementReason) {
@@ -208,7 +208,7 @@
         &self,
         now: Time,
         view: &LoadView,
-        flow: &NewFlow,
+        flow: &PlacementRequest,
         candidates: &[Candidate<'a>],
     ) -> Vec<Offer<'a>> {
         let longest_ms = candidates
--- a/crates/daemon/src/passthrough/agent.rs
+++ b/crates/daemon/src/passthrough/agent.rs
@@ -21,7 +21,7 @@
     cardamomloom_protocol::{
         forward::DatagramKey,
         passthrough::{
-            FlowOwner, PacketFormat, PeerMessage, RelayHeader, RelayKind, RunId, Segment,
+            FlowId, FlowOwner, PacketFormat, PeerMessage, RelayHeader, RelayKind, RunId, Segment,
         },
     },
     cardamomloom_transport::udp::{ReceiveBatch, SendBatch},
@@ -412,9 +412,16 @@
                 Action::Send { to, message } => control.send_one(to, message),
                 Action::Reset { flow, sequence } => {
                     metrics::counter!("cardamomloom_resets_total").increment(1);
-                    let to = SocketAddrV4::new(*flow.caller.ip(), self.data_port);
-                    let reset = self.format.encode(&Segment::reset(&flow, sequence), &[]);
-                    self.to_network.push(to, &reset, &[]);
+                    self.send_reset(&flow, sequence);
+                }
+                Action::Reject { flow, rejection } => {
+                    metrics::counter!(
+                        "cardamomloom_rejected_flows_total",
+                        "cause" => rejection.cause.label(), "route" => rejection.route.to_string()
+                    )
+                    .increment(1);
+                    // The flow is not open, so that its caller accepts any sequence number.
+                    self.send_reset(&flow, 0);
                 }
                 Action::Drop(reason) => count_drop(DropReason::label(reason)),
             }
@@ -466,6 +473,14 @@
                 event = "flow_reset", flow:%, sequence;
                 "reset sent to the caller: no backend server has the flow any more"
             ),
+            Action::Reject { flow, rejection } => info!(
+                event = "flow_rejected", flow:%, cause:% = rejection.cause, route:% = rejection.route,
+                age_ms = rejection.age.as_millis(), goal_ms = rejection.goal.as_millis(),
+                timeout_ms = rejection.timeout.map(Span::as_millis),
+                wait_ms = rejection.wait.as_millis(),
+                service_wait_ms = rejection.service_wait.wait().map(Span::as_millis);
+                "new flow rejected: reset sent to the caller"
+            ),
             Action::Drop(reason) => info!(
                 event = "packet_dropped", flow, opens, cause = reason.label();
                 "packet dropped"
@@ -477,6 +492,12 @@
         }
     }
 
+    fn send_reset(&mut self, flow: &FlowId, sequence: u32) {
+        let to = SocketAddrV4::new(*flow.caller.ip(), self.data_port);
+        let reset = self.format.encode(&Segment::reset(flow, sequence), &[]);
+        self.to_network.push(to, &reset, &[]);
+    }
+
     fn relay(&mut self, to: std::net::Ipv4Addr, header: &RelayHeader, packet: &[u8]) {
         let header = header.encode(self.key, packet);
         self.to_network
--- a/crates/standins/src/passthrough/mod.rs
+++ b/crates/standins/src/passthrough/mod.rs
@@ -16,5 +16,5 @@
     names::{domain_name, route, service_name},
     oracle::{FlowCounters, Oracle, Violation},
     queues::{PlacementRule, QueueHost, QueueModel, QueuedFlow},
-    simulation::{Load, Simulation, SimulationOptions},
+    simulation::{Load, RequestRecord, Simulation, SimulationOptions},
 };
--- a/crates/standins/src/passthrough/queues.rs
+++ b/crates/standins/src/passthrough/queues.rs
@@ -3,7 +3,7 @@
 
 use {
     cardamomloom_coordination::passthrough::{
-        load::{Candidate, LoadView, NewFlow, Placer},
+        load::{Candidate, LoadView, PlacementRequest, Placer},
         rendezvous_score,
     },
     cardamomloom_core::{DomainName, ServiceName, Span, Time, hash::splitmix64},
@@ -335,7 +335,7 @@
             .collect();
         let balancer = &mut self.balancers[balancer];
         let own_domain = &self.domains[balancer.domain];
-        let flow = NewFlow {
+        let flow = PlacementRequest {
             service: &self.service,
             hash,
             own_domain: (self.rule == PlacementRule::OwnDomain).then_some(own_domain),
