Bound the questions about the age of the fleet

Young processes asked for lists so often that a balancer sent more than 3 KB/s of control messages (passthrough_control failed). Agents now ask one balancer in 200 ms until they know the age of the fleet, then in 2 s; young balancers answer without their list and repeat their sample every 2 s.

--- a/crates/coordination/src/passthrough/agent/agent_lists.rs
+++ b/crates/coordination/src/passthrough/agent/agent_lists.rs
@@ -22,7 +22,11 @@
 const REQUEST_INTERVAL: Span = Span::from_millis(20);
 
 /// Least time for which the statement of a balancer about the age of the fleet is valid.
-const FLEET_AGE_VALIDITY: Span = Span::from_secs(2);
+const FLEET_AGE_VALIDITY: Span = Span::from_secs(5);
+
+/// Least time between two questions to balancers while such a statement is valid, and otherwise.
+const FLEET_AGE_INTERVAL: Span = Span::from_secs(2);
+const FIRST_FLEET_AGE_INTERVAL: Span = Span::from_millis(200);
 
 /// Least time between two requests for the list of the same agent.
 const SAME_AGENT_INTERVAL: Span = Span::from_millis(500);
@@ -48,6 +52,7 @@
     /// Whether this process started with all others, so that every flow was opened since then.
     has_started_with_fleet: bool,
     requested_at: BTreeMap<Ipv4Addr, Time>,
+    balancer_asked_at: Option<Time>,
     last_request: Option<Time>,
 }
 
@@ -158,8 +163,21 @@
         now: Time,
         balancer: Ipv4Addr,
     ) -> Option<OutgoingMessage> {
-        let is_requested =
-            !self.knows_former_agents(now) && self.known_lists.should_request(now, balancer);
+        let interval = if self.is_fleet_new(now) {
+            FLEET_AGE_INTERVAL
+        } else {
+            FIRST_FLEET_AGE_INTERVAL
+        };
+        let is_due = self
+            .known_lists
+            .balancer_asked_at
+            .is_none_or(|at| now.since(at) >= interval);
+        let is_requested = !self.knows_former_agents(now)
+            && is_due
+            && self.known_lists.should_request(now, balancer);
+        if is_requested {
+            self.known_lists.balancer_asked_at = Some(now);
+        }
         is_requested.then_some(OutgoingMessage {
             to: balancer,
             message: PeerMessage::AgentListRequest(AgentListRequest {
--- a/crates/coordination/src/passthrough/balancer/fleet_age.rs
+++ b/crates/coordination/src/passthrough/balancer/fleet_age.rs
@@ -15,8 +15,9 @@
     std::{cmp::Reverse, collections::BTreeSet, net::Ipv4Addr},
 };
 
-/// Interval of the samples.
+/// Interval of the samples until enough processes have answered, and afterwards.
 const SAMPLE_INTERVAL: Span = Span::from_millis(250);
+const REPEATED_SAMPLE_INTERVAL: Span = Span::from_secs(2);
 
 /// Processes in a sample, and answers without which nothing is known of the fleet.
 const SAMPLE_LEN: usize = 8;
@@ -42,7 +43,12 @@
         {
             return Vec::new();
         }
-        self.fleet_age.next_sample = now + SAMPLE_INTERVAL;
+        let interval = if self.is_fleet_new(now) {
+            REPEATED_SAMPLE_INTERVAL
+        } else {
+            SAMPLE_INTERVAL
+        };
+        self.fleet_age.next_sample = now + interval;
         let agents = self.hosts.iter().map(|record| record.announcement.agent);
         let mut processes: Vec<Ipv4Addr> = agents.chain(self.peers.live(now)).collect();
         processes.sort_by_cached_key(|process| Reverse(rendezvous_score(now.0, *process)));
@@ -65,8 +71,8 @@
         }
     }
 
-    /// Answers a process that has started a short time ago: with the hosts of its service, and whether
-    /// this process is older or the whole fleet is new.
+    /// Answers a process that has started a short time ago: with the hosts of its service if this
+    /// process is older, or whether the whole fleet is new.
     pub(super) fn on_list_request(
         &self,
         now: Time,
@@ -74,10 +80,15 @@
     ) -> Vec<OutgoingMessage> {
         let record = self.hosts.get(request.agent);
         let service = record.map(|record| &record.announcement.service);
-        let hosts = service.into_iter().flat_map(|service| {
-            let hosts = self.hosts.of_service(service);
-            hosts.map(|record| record.announcement.agent)
-        });
+        let is_older = self.is_older_than_retention(now);
+        // The receiver knows the list of a young process from its heartbeats.
+        let hosts = service
+            .into_iter()
+            .filter(|_| is_older)
+            .flat_map(|service| {
+                let hosts = self.hosts.of_service(service);
+                hosts.map(|record| record.announcement.agent)
+            });
         let agents: BTreeSet<Ipv4Addr> = hosts.collect();
         if agents.len() > MAX_LISTED_AGENTS {
             return Vec::new();
@@ -85,7 +96,7 @@
         let message = PeerMessage::AgentList(AgentList {
             agent: self.own_address,
             service: service.map_or(ServiceTag(0), ServiceTag::from),
-            is_complete: self.is_older_than_retention(now),
+            is_complete: is_older,
             is_fleet_new: self.is_fleet_new(now),
             agents: agents
                 .into_iter()
