--- a/crates/cli/src/arguments/mod.rs
+++ b/crates/cli/src/arguments/mod.rs
@@ -275,11 +275,32 @@
     #[options(help = "print this help")]
     help: bool,
     /// Address and port of the caller.
-    #[options(free, required, help = "address and port of the caller")]
-    pub caller: String,
+    #[options(free, help = "address and port of the caller")]
+    pub caller: Option<String>,
     /// Address and port of the service.
-    #[options(free, required, help = "address and port of the service")]
-    pub service: String,
+    #[options(free, help = "address and port of the service")]
+    pub address: Option<String>,
+    /// Service of a new flow with pass-through delivery, in place of the addresses.
+    #[options(
+        no_short,
+        help = "with pass-through delivery: service of a new flow, in place of the addresses",
+        meta = "NAME"
+    )]
+    pub service: Option<String>,
+    /// Failure domain of the caller of the new flow.
+    #[options(
+        no_short,
+        help = "failure domain of the caller; needs --service",
+        meta = "DOMAIN"
+    )]
+    pub from: Option<String>,
+    /// Endpoint of an agent whose view is shown too.
+    #[options(
+        no_short,
+        help = "endpoint of an agent (address:port) whose view is shown; needs --service",
+        meta = "ADDRESS"
+    )]
+    pub agent: Option<String>,
 }
 
 /// Options of `report`.
--- a/crates/cli/src/commands/explain.rs
+++ b/crates/cli/src/commands/explain.rs
@@ -1,6 +1,7 @@
 //! Command `explain`: which host each balancer sends a flow to, and why.
 
 use {
+    super::explain_placement::explain_placement,
     crate::{
         arguments::ExplainOptions,
         context::{Context, parse_address},
@@ -9,7 +10,7 @@
     },
     cardamomloom_core::{
         HostId,
-        error::{Error, ErrorKind, Result},
+        error::{Error, ErrorKind, Result, invalid_argument},
     },
     serde_json::{Value, json},
 };
@@ -17,8 +18,28 @@
 /// Queries every balancer for the candidates of a flow, and reports whether those that answer have
 /// the same candidate list.
 pub async fn explain(context: &Context, options: &ExplainOptions) -> Result<Output> {
-    let caller = parse_address("caller", &options.caller)?;
-    let service = parse_address("service", &options.service)?;
+    if let Some(service) = &options.service {
+        let from = options.from.as_deref().ok_or_else(|| {
+            invalid_argument(
+                "explain: field \"--from\" is not set; allowed is the failure domain of the caller",
+            )
+        })?;
+        let agent = options.agent.as_deref();
+        let agent = agent
+            .map(|text| parse_address("--agent", text))
+            .transpose()?;
+        return explain_placement(context, service, from, agent).await;
+    }
+    let required = |field: &str, value: &Option<String>| {
+        let text = value.as_deref().ok_or_else(|| {
+            invalid_argument(format!(
+                "explain: field {field:?} is not set; allowed are CALLER and SERVICE, or --service and --from"
+            ))
+        });
+        text.and_then(|text| parse_address(field, text))
+    };
+    let caller = required("caller", &options.caller)?;
+    let service = required("service", &options.address)?;
     let query = [
         ("caller", caller.to_string()),
         ("service", service.to_string()),
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -2,6 +2,7 @@
 
 mod changes;
 mod explain;
+mod explain_placement;
 mod read;
 mod report;
 mod status;
--- a/crates/cli/tests/command/main.rs
+++ b/crates/cli/tests/command/main.rs
@@ -2,4 +2,5 @@
 
 mod changes;
 mod common;
+mod explain_placement;
 mod views;
--- a/crates/coordination/src/passthrough/agent/admission.rs
+++ b/crates/coordination/src/passthrough/agent/admission.rs
@@ -115,7 +115,7 @@
     }
 
     /// Returns the limit of new flows a second while the host is cold, or `None` without a limit.
-    fn cold_flows_per_s(&self, now: Time) -> Option<f64> {
+    pub(super) fn cold_flows_per_s(&self, now: Time) -> Option<f64> {
         let is_cold = self.host.as_ref().is_some_and(|host| now < host.cold_until);
         if !is_cold {
             return None;
--- a/crates/coordination/src/passthrough/agent/mod.rs
+++ b/crates/coordination/src/passthrough/agent/mod.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod control;
 mod copies;
+mod explanation;
 mod flow_upkeep;
 mod flows;
 mod host;
--- a/crates/coordination/src/passthrough/mod.rs
+++ b/crates/coordination/src/passthrough/mod.rs
@@ -8,6 +8,7 @@
 pub mod agent;
 pub mod balancer;
 mod catalogue;
+mod explanation;
 mod flow_cache;
 mod hosts;
 pub mod load;
@@ -22,6 +23,10 @@
 
 pub use {
     catalogue::{CatalogueOptions, CatalogueView, Lookup},
+    explanation::{
+        AdmissionDecision, AdmissionExplanation, FlowCandidate, FlowExplanation, FlowQuery,
+        PlacementRule,
+    },
     flow_cache::FlowCache,
     hosts::{HostDirectory, HostDirectoryOptions, HostRecord},
     peers::{PeerDirectory, PeerDirectoryOptions},
--- a/crates/daemon/src/passthrough/agent.rs
+++ b/crates/daemon/src/passthrough/agent.rs
@@ -3,7 +3,7 @@
 
 use {
     super::{
-        Result,
+        Result, explanation,
         log_limit::LogRateLimiter,
         node::{Event, NodeRuntime, TICK, run_loop},
         registry,
@@ -189,6 +189,10 @@
                     "behind_ms": self.agent.behind_for(now).map(Span::as_millis),
                 }));
             }
+            Event::ExplainRequest(query, reply) => {
+                let explanation = self.agent.explain(now, &query);
+                let _ = reply.send(explanation::admission_json(&query, &explanation));
+            }
             Event::Report(report, reply) => {
                 let is_acknowledged = self.agent.on_report(now, &report, &mut self.actions);
                 // Sending fails when the backend server has disconnected.
--- a/crates/daemon/src/passthrough/balancer.rs
+++ b/crates/daemon/src/passthrough/balancer.rs
@@ -3,7 +3,7 @@
 
 use {
     super::{
-        Result,
+        Result, explanation,
         log_limit::LogRateLimiter,
         node::{Event, NodeRuntime, TICK, run_loop},
         registry,
@@ -11,11 +11,12 @@
     },
     crate::settings::PassThroughSettings,
     cardamomloom_coordination::passthrough::{
-        OutgoingMessage,
+        FlowExplanation, OutgoingMessage,
         balancer::{
             Balancer, BalancerOptions, DropReason, ForwardingDecision, SnapshotContent,
             StartupQueue,
         },
+        load::{LoadControlOptions, LoadView},
     },
     cardamomloom_core::{Span, Time},
     cardamomloom_platform::packet::PlatformPackets,
@@ -49,9 +50,10 @@
     let (data, control) = (runtime.data.clone(), runtime.control.clone());
     let mut stakker = Stakker::new(Instant::now());
     let seeds = settings.seed_addresses();
+    let load_control = settings.load_control.options();
     let balancer = Balancer::new(
         BalancerOptions {
-            load_control: settings.load_control.options(),
+            load_control,
             ..BalancerOptions::default()
         },
         settings.address(),
@@ -60,6 +62,7 @@
     );
     let node = BalancerNode {
         balancer,
+        load_control,
         runtime,
         key: settings.key()?,
         data_port: settings.data_address.port(),
@@ -82,6 +85,7 @@
 
 struct BalancerNode {
     balancer: Balancer,
+    load_control: LoadControlOptions,
     runtime: NodeRuntime,
     key: DatagramKey,
     data_port: u16,
@@ -163,6 +167,14 @@
             Event::StatusRequest(reply) => {
                 let _ = reply.send(self.status(now));
             }
+            Event::ExplainRequest(query, reply) => {
+                let summary = self.balancer.summary(now);
+                let options = self.load_control;
+                // The balancer keeps no loads yet.
+                let loads = LoadView::default();
+                let explanation = FlowExplanation::new(now, &query, options, &summary, &loads);
+                let _ = reply.send(explanation::placement_json(&query, &explanation));
+            }
             Event::Seeds(seeds) => self.balancer.set_seeds(now, &seeds),
             Event::Stop => self.stop(cx, now),
             Event::ServerPacketsReady
--- a/crates/daemon/src/passthrough/endpoints.rs
+++ b/crates/daemon/src/passthrough/endpoints.rs
@@ -2,7 +2,7 @@
 //! `/snapshot`, `/status` and `/metrics` for other processes and operators.
 
 use {
-    super::{Result, node::Event},
+    super::{Result, explanation, node::Event},
     crate::settings::{PassThroughRole, PassThroughSettings},
     axum::{
         Json, Router,
@@ -19,7 +19,9 @@
     log::warn,
     metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle},
     serde::Deserialize,
+    serde_json::json,
     std::{
+        collections::HashMap,
         net::{Ipv4Addr, SocketAddr},
         sync::{Arc, atomic::AtomicBool},
     },
@@ -68,6 +70,7 @@
         .route("/snapshot", get(snapshot))
         .route("/catalogue", get(catalogue))
         .route("/status", get(status))
+        .route("/explain", get(explain))
         .with_state(events)
 }
 
@@ -176,6 +179,22 @@
     request(&events, Event::StatusRequest).await.map(Json)
 }
 
+/// Answers where a new flow would go, or with an error as JSON.
+async fn explain(
+    State(events): State<mpsc::Sender<Event>>,
+    Query(query): Query<HashMap<String, String>>,
+) -> std::result::Result<Response, StatusCode> {
+    let query = match explanation::parse_query(&query) {
+        Ok(query) => query,
+        Err(error) => {
+            let error = json!({"kind": error.kind.entry().name, "message": error.message});
+            return Ok((StatusCode::BAD_REQUEST, Json(json!({"error": error}))).into_response());
+        }
+    };
+    let new_event = |reply| Event::ExplainRequest(query, reply);
+    Ok(Json(request(&events, new_event).await?).into_response())
+}
+
 async fn render_metrics(State(metrics): State<PrometheusHandle>) -> String {
     metrics.render()
 }
--- a/crates/daemon/src/passthrough/mod.rs
+++ b/crates/daemon/src/passthrough/mod.rs
@@ -6,6 +6,7 @@
 mod agent;
 mod balancer;
 pub mod endpoints;
+mod explanation;
 mod log_limit;
 pub mod node;
 pub mod peer_client;
--- a/crates/daemon/src/passthrough/node.rs
+++ b/crates/daemon/src/passthrough/node.rs
@@ -12,7 +12,7 @@
     },
     crate::settings::{AnySettings, PassThroughRole, PassThroughSettings, load},
     cardamomloom_coordination::passthrough::{
-        CopyOutcome, CopyQuery, CopyResponse, OutgoingMessage, StoreAccess,
+        CopyOutcome, CopyQuery, CopyResponse, FlowQuery, OutgoingMessage, StoreAccess,
         balancer::SnapshotContent,
     },
     cardamomloom_core::{
@@ -97,6 +97,8 @@
     },
     /// An operator requests the status document.
     StatusRequest(oneshot::Sender<serde_json::Value>),
+    /// An operator asks where a new flow would go.
+    ExplainRequest(FlowQuery, oneshot::Sender<serde_json::Value>),
     /// The backend server sent a report; the reply says whether it is acknowledged.
     Report(HostReport, oneshot::Sender<bool>),
     /// The backend server instance with this id has left; the reply acknowledges it.
