--- a/crates/coordination/src/passthrough/agent/mod.rs
+++ b/crates/coordination/src/passthrough/agent/mod.rs
@@ -5,6 +5,7 @@
 mod agent_lists;
 mod control;
 mod copies;
+mod explanation;
 mod flow_upkeep;
 mod flows;
 mod host;
