Leaving share: gain of 0.25

Change: gain of 0.25.

The test of a step fails without the change term, and when all flows leave at once.

--- a/crates/coordination/src/passthrough/load/leaving_share.rs
+++ b/crates/coordination/src/passthrough/load/leaving_share.rs
@@ -19,7 +19,7 @@
 
 /// Part of the excess demand of an interval that is moved in the next one. With half of it, the share
 /// oscillates when the demand is twice the capacity and loads are as old as an interval.
-const GAIN: f64 = 0.3;
+const GAIN: f64 = 0.25;
 
 /// Number of intervals over which a remaining difference is worked off.
 const INTERVALS_TO_EQUALIZE: f64 = 3.0;
