--- a/crates/daemon/src/passthrough/balancer.rs
+++ b/crates/daemon/src/passthrough/balancer.rs
@@ -3,7 +3,7 @@
 
 use {
     super::{
-        Result,
+        Result, explanation,
         load_metrics::publish_known_loads,
         log_limit::LogRateLimiter,
         node::{Event, NodeRuntime, TICK, run_loop},
@@ -12,11 +12,12 @@
     },
     crate::settings::PassThroughSettings,
     cardamomloom_coordination::passthrough::{
-        OutgoingMessage,
+        FlowExplanation, OutgoingMessage,
         balancer::{
             Balancer, BalancerOptions, DropReason, ForwardingDecision, LostFlow, SnapshotContent,
             StartupQueue,
         },
+        load::LoadControlOptions,
     },
     cardamomloom_core::{Span, Time},
     cardamomloom_platform::packet::PlatformPackets,
@@ -50,9 +51,10 @@
     let (data, control) = (runtime.data.clone(), runtime.control.clone());
     let mut stakker = Stakker::new(Instant::now());
     let seeds = settings.seed_addresses();
+    let load_control = settings.load_control.options();
     let balancer = Balancer::new(
         BalancerOptions {
-            load_control: settings.load_control.options(),
+            load_control,
             ..BalancerOptions::default()
         },
         settings.address(),
@@ -62,6 +64,7 @@
     .with_domain(settings.domain.clone());
     let node = BalancerNode {
         balancer,
+        load_control,
         runtime,
         key: settings.key()?,
         data_port: settings.data_address.port(),
@@ -100,6 +103,7 @@
 
 struct BalancerNode {
     balancer: Balancer,
+    load_control: LoadControlOptions,
     runtime: NodeRuntime,
     key: DatagramKey,
     data_port: u16,
@@ -183,6 +187,13 @@
             Event::StatusRequest(reply) => {
                 let _ = reply.send(self.status(now));
             }
+            Event::ExplainRequest(query, reply) => {
+                let summary = self.balancer.summary(now);
+                let options = self.load_control;
+                let loads = self.balancer.loads();
+                let explanation = FlowExplanation::new(now, &query, options, &summary, loads);
+                let _ = reply.send(explanation::placement_json(&query, &explanation));
+            }
             Event::Seeds(seeds) => self.balancer.set_seeds(now, &seeds),
             Event::Stop => self.stop(cx, now),
             Event::ServerPacketsReady
--- a/crates/daemon/src/passthrough/mod.rs
+++ b/crates/daemon/src/passthrough/mod.rs
@@ -6,6 +6,7 @@
 mod agent;
 mod balancer;
 pub mod endpoints;
+mod explanation;
 mod load_metrics;
 mod log_limit;
 pub mod node;
