--- a/crates/bench/src/experiment/mod.rs
+++ b/crates/bench/src/experiment/mod.rs
@@ -11,6 +11,7 @@
 mod forward;
 mod lookup;
 mod memory;
+mod placement;
 mod spread;
 mod status;
 mod store;
@@ -65,5 +66,6 @@
         Box::new(table::Table),
         Box::new(domain::Domain),
         Box::new(balance::Balance),
+        Box::new(placement::Placement),
     ]
 }
