--- a/crates/coordination/src/passthrough/agent/admission.rs
+++ b/crates/coordination/src/passthrough/agent/admission.rs
@@ -169,7 +169,7 @@
         while !self.syn_queue.is_empty()
             && self.accepts_flows(now)
             && self.is_within_cold_rate(now)
-            && let Some((syn, class)) = self.syn_queue.pop_for(now, self.queue_room())
+            && let Some((syn, class)) = self.syn_queue.pop_for(now, self.queue_room(now))
         {
             let is_active = self.flows.get(&syn.flow).is_some_and(LocalFlow::is_active);
             if !is_active {
--- a/crates/coordination/src/passthrough/agent/flow_order.rs
+++ b/crates/coordination/src/passthrough/agent/flow_order.rs
@@ -88,6 +88,13 @@
         };
         state.may_relay = may_relay;
         let mut decision = new_flow.decide(&state);
+        let has_place = matches!(
+            decision,
+            FlowDecision::Accept { .. } | FlowDecision::QueueInGoal
+        );
+        if !has_place && new_flow.is_fresh(&state.times) {
+            self.slot_demand.on_turned_away(now);
+        }
         if decision == FlowDecision::Relay {
             let score = overload_score(state.wait, FAILING_OVERLOAD_SCORE);
             if let Some(relay) = self.relay_overloaded(now, header, &flow, score) {
@@ -189,7 +196,7 @@
     }
 
     /// Returns the classes of queued SYNs for which the host has room.
-    pub(super) fn queue_room(&self) -> QueueRoom {
+    pub(super) fn queue_room(&self, now: Time) -> QueueRoom {
         let has_capacity = self.has_waiting_capacity();
         let limit = self.max_waiting();
         let waiting = self.flows.waiting();
@@ -199,7 +206,8 @@
         };
         QueueRoom {
             in_goal: has_room(HostTimes::max_in_progress, limit),
-            late: has_room(HostTimes::max_late_in_progress, limit),
+            late: has_room(HostTimes::max_late_in_progress, limit)
+                && !times.is_some_and(|times| self.slot_demand.wants_room(now, &times)),
             without_goal: has_capacity,
         }
     }
@@ -210,7 +218,7 @@
         let times = self.host_times()?;
         let priority = self.catalogue.priority(flow.service);
         let callers_ahead = self.flows.waiting() + self.syn_queue.ahead_of(now, priority);
-        let room = self.queue_room();
+        let room = self.queue_room(now);
         let is_queue_empty = self.syn_queue.ahead_of(now, u8::MAX) == 0;
         Some(HostState {
             times,
--- a/crates/coordination/src/passthrough/load/flow_admission.rs
+++ b/crates/coordination/src/passthrough/load/flow_admission.rs
@@ -28,6 +28,9 @@
 /// slots are idle for moments between requests.
 const FULL_SHARE: f64 = 0.8;
 
+/// Number of times that a request of a usual work time fits the latency goal.
+const USUAL_WORKS_PER_GOAL: u64 = 8;
+
 /// Expected wait that one unit of an overload score stands for: about that of one caller at a host
 /// with 4 slots and a work time of 30 ms, so that scores compare with the counts of callers that
 /// agents of earlier releases send.
@@ -219,23 +222,39 @@
         let service_wait = self.service_wait.wait()?;
         let timeout = self.timeout.filter(|_| self.is_undelivered)?;
         let (times, age) = (&host.times, self.age);
-        let is_beyond = |wait| times.response_time(age, wait) > timeout;
-        if is_beyond(host.wait) && is_beyond(service_wait) {
+        // The work time of the best host is unknown. This host may be a slow one, so that its own
+        // counts for no more than usual.
+        let usual_work = times.work.min(Span(self.goal.0 / USUAL_WORKS_PER_GOAL));
+        let best_times = HostTimes {
+            work: usual_work,
+            ..*times
+        };
+        if times.response_time(age, host.wait) > timeout
+            && best_times.response_time(age, service_wait) > timeout
+        {
             return Some(RejectionCause::BeyondTimeout);
         }
         // The hosts fill up to the wait that is in goal and no further, so that the best one is
         // always a little below it. A host within one work time of it has room for few flows, which
         // balancers place there.
-        let is_late = |wait| !self.is_in_goal(times, wait);
-        let is_full = is_late(host.wait) && is_late(Span(service_wait.0 + times.work.0));
+        let best_wait = Span(service_wait.0 + usual_work.0);
+        let is_full =
+            !self.is_in_goal(times, host.wait) && !self.is_in_goal(&best_times, best_wait);
         (is_full && host.is_filled_in_goal).then_some(RejectionCause::FilledInGoal)
     }
 
-    /// Returns whether the response is expected in goal at a host with this wait. Half of the wait is
-    /// added as a margin: work times vary, and a caller that retries has waited before.
+    /// Returns whether the response is expected in goal at a host with this wait. The wait counts
+    /// twice: work times vary, and a caller that retries has waited before. Under lasting overload a
+    /// shorter queue answers as many requests, and each of them earlier.
     #[must_use]
     pub fn is_in_goal(&self, times: &HostTimes, wait: Span) -> bool {
-        times.response_time(self.age, Span(wait.0 + wait.0 / 2)) <= self.goal
+        times.response_time(self.age, Span(2 * wait.0)) <= self.goal
+    }
+
+    /// Returns whether an idle host like this one would answer the flow in goal.
+    #[must_use]
+    pub fn is_fresh(&self, times: &HostTimes) -> bool {
+        self.is_in_goal(times, Span::ZERO)
     }
 
     /// Returns the time for which the SYN may be queued and still be answered in goal, when the host
@@ -265,6 +284,9 @@
     updated: Time,
     /// Latest time at which a late SYN was given to the host.
     late_at: Option<Time>,
+    /// Latest time at which the host had no room for a flow that it could have answered in goal if it
+    /// had been idle.
+    turned_away_at: Option<Time>,
 }
 
 impl SlotDemand {
@@ -279,6 +301,19 @@
         self.late_at = Some(now);
     }
 
+    /// Records a flow that an idle host could have answered in goal and for which there was no room.
+    pub const fn on_turned_away(&mut self, now: Time) {
+        self.turned_away_at = Some(now);
+    }
+
+    /// Returns whether room that is free now is likely to be wanted soon by a flow that can be answered
+    /// in goal: such a flow was turned away within the last work time.
+    #[must_use]
+    pub fn wants_room(&self, now: Time, times: &HostTimes) -> bool {
+        self.turned_away_at
+            .is_some_and(|at| now.since(at) <= times.work)
+    }
+
     /// Returns whether the requests of the last moments alone fill the slots: there was room for no
     /// late flow.
     #[must_use]
--- a/crates/daemon/src/passthrough/agent.rs
+++ b/crates/daemon/src/passthrough/agent.rs
@@ -7,7 +7,7 @@
         load_metrics::publish_host_load,
         log_limit::LogRateLimiter,
         node::{Event, NodeRuntime, TICK, run_loop},
-        registry,
+        registry, rejections,
         server_check::is_server_absent,
         sockets::{Outbox, PacketSocket},
     },
@@ -371,6 +371,7 @@
         NodeRuntime::publish_catalogue_lag(self.agent.behind_for(now));
         metrics::gauge!("cardamomloom_open_flows").set(open_flows as f64);
         metrics::gauge!("cardamomloom_held_openings").set(self.agent.queued_syns() as f64);
+        rejections::publish_queue(&self.agent, now);
         let outcomes = self.agent.outcomes();
         super::publish_lookups(self.agent.lookup_outcomes());
         let (answered, failed) = outcomes.totals();
@@ -419,11 +420,7 @@
                     self.send_reset(&flow, sequence);
                 }
                 Action::Reject { flow, rejection } => {
-                    metrics::counter!(
-                        "cardamomloom_rejected_flows_total",
-                        "cause" => rejection.cause.label(), "route" => rejection.route.to_string()
-                    )
-                    .increment(1);
+                    rejections::count(&rejection);
                     // The flow is not open, so that its caller accepts any sequence number.
                     self.send_reset(&flow, 0);
                 }
@@ -477,14 +474,7 @@
                 event = "flow_reset", flow:%, sequence;
                 "reset sent to the caller: no backend server has the flow any more"
             ),
-            Action::Reject { flow, rejection } => info!(
-                event = "flow_rejected", flow:%, cause:% = rejection.cause, route:% = rejection.route,
-                age_ms = rejection.age.as_millis(), goal_ms = rejection.goal.as_millis(),
-                timeout_ms = rejection.timeout.map(Span::as_millis),
-                wait_ms = rejection.wait.as_millis(),
-                service_wait_ms = rejection.service_wait.wait().map(Span::as_millis);
-                "new flow rejected: reset sent to the caller"
-            ),
+            Action::Reject { flow, rejection } => rejections::log(flow, rejection),
             Action::Drop(reason) => info!(
                 event = "packet_dropped", flow, opens, cause = reason.label();
                 "packet dropped"
--- a/crates/standins/src/passthrough/simulation/faults.rs
+++ b/crates/standins/src/passthrough/simulation/faults.rs
@@ -92,6 +92,7 @@
         }
         let process = AgentProcess {
             core,
+            syn_timer: None,
             generation,
             is_up: true,
         };
--- a/crates/standins/src/passthrough/simulation/requests.rs
+++ b/crates/standins/src/passthrough/simulation/requests.rs
@@ -2,9 +2,13 @@
 //! wait that balancers state.
 
 use {
-    super::{Caller, CallerOptions, Event, Simulation},
+    super::{
+        Caller, CallerOptions, Event, Load, Simulation,
+        layout::{service_route, urgent_route},
+    },
     cardamomloom_core::{Span, Time},
     cardamomloom_protocol::passthrough::{FlowId, ServiceWait},
+    rand::RngExt,
     std::{collections::HashMap, net::SocketAddrV4},
 };
 
@@ -35,6 +39,24 @@
 }
 
 impl Simulation {
+    /// Schedules the new flows of a load at random times from now on.
+    pub fn schedule_load(&mut self, load: Load) {
+        self.schedule_flows(service_route(load.service), load);
+    }
+
+    /// Schedules a load like [`Self::schedule_load`], to the urgent route of its service.
+    pub fn schedule_urgent_load(&mut self, load: Load) {
+        self.schedule_flows(urgent_route(load.service), load);
+    }
+
+    fn schedule_flows(&mut self, address: SocketAddrV4, load: Load) {
+        let count = load.duration.0 * u64::from(load.flows_per_s) / 1_000_000;
+        for _ in 0..count {
+            let delay = Span(self.random.random_range(0..load.duration.0));
+            self.schedule(delay, Event::OpenFlow(address, load.caller));
+        }
+    }
+
     /// Returns the requests that have ended, in the order in which their flows ended.
     #[must_use]
     pub fn requests(&self) -> &[RequestRecord] {
