--- a/crates/standins/src/passthrough/caller.rs
+++ b/crates/standins/src/passthrough/caller.rs
@@ -15,6 +15,8 @@
     pub pause: Span,
     /// Maximum time from a request to its response; that of the first request includes the handshake.
     pub request_timeout: Span,
+    /// Number of further flows that the caller opens for its requests after a reset or a timeout.
+    pub retries: u32,
 }
 
 impl Default for CallerOptions {
@@ -23,6 +25,7 @@
             requests: 1,
             pause: Span::ZERO,
             request_timeout: Span::from_millis(2_000),
+            retries: 0,
         }
     }
 }
@@ -80,6 +83,8 @@
     /// Longest time from a request to its response so far; that of the first request includes the
     /// handshake.
     pub max_response_time: Span,
+    /// Time of each answered request, and the time from it to its response.
+    pub responses: Vec<(Time, Span)>,
 }
 
 /// Times after the first SYN at which it is retransmitted.
@@ -117,6 +122,7 @@
             next_timer: now + SYN_RETRANSMISSIONS[0],
             retransmit_interval: MIN_RETRANSMIT_INTERVAL,
             max_response_time: Span::ZERO,
+            responses: Vec::new(),
         };
         let syn = caller.syn(0);
         (caller, syn)
@@ -128,6 +134,30 @@
         self.flow
     }
 
+    /// Returns the time of the first SYN, or of the current request.
+    #[must_use]
+    pub const fn requested_at(&self) -> Time {
+        self.requested_at
+    }
+
+    /// Returns how the caller uses a further flow for the requests that were not answered, or `None`
+    /// when all were or it opens no further flow.
+    #[must_use]
+    pub fn retry(&self) -> Option<CallerOptions> {
+        let outcome = self.outcome()?;
+        (outcome != CallerOutcome::Served && self.options.retries > 0).then(|| CallerOptions {
+            requests: self.options.requests - self.answered_requests,
+            retries: self.options.retries - 1,
+            ..self.options
+        })
+    }
+
+    /// Returns whether all requests were answered.
+    #[must_use]
+    pub fn is_served(&self) -> bool {
+        self.outcome() == Some(CallerOutcome::Served)
+    }
+
     /// Returns how the flow ended, or `None` while it lasts.
     #[must_use]
     pub const fn outcome(&self) -> Option<CallerOutcome> {
@@ -229,7 +259,9 @@
             self.phase = Phase::Done(CallerOutcome::WrongAnswer);
             return Vec::new();
         }
-        self.max_response_time = self.max_response_time.max(now.since(self.requested_at));
+        let response_time = now.since(self.requested_at);
+        self.max_response_time = self.max_response_time.max(response_time);
+        self.responses.push((self.requested_at, response_time));
         self.expected = self.expected.wrapping_add(u32::from(MESSAGE_BYTES));
         self.sequence = self.sequence.wrapping_add(u32::from(MESSAGE_BYTES));
         self.answered_requests += 1;
--- a/crates/standins/src/passthrough/host.rs
+++ b/crates/standins/src/passthrough/host.rs
@@ -16,8 +16,10 @@
     /// Number of requests that may wait for a slot; further ones are dropped, as by a server that
     /// sheds load.
     pub queue_capacity: usize,
-    /// Processing time of one request.
+    /// Mean processing time of one request.
     pub service_time: Span,
+    /// Largest deviation of the processing time from its mean, as a share of it.
+    pub service_time_spread: f64,
 }
 
 impl Default for HostOptions {
@@ -26,6 +28,7 @@
             slots: 4,
             queue_capacity: 16,
             service_time: Span::from_millis(22),
+            service_time_spread: 0.0,
         }
     }
 }
@@ -101,6 +104,11 @@
         self.failure_ratio = ratio;
     }
 
+    /// Sets the mean processing time of a request.
+    pub const fn set_service_time(&mut self, service_time: Span) {
+        self.options.service_time = service_time;
+    }
+
     /// Returns whether a flow is open, that is, its handshake is complete and it has not ended.
     #[must_use]
     pub fn has_open_flow(&self, flow: &FlowId) -> bool {
@@ -207,8 +215,7 @@
                 state.next_sequence = state.next_sequence.wrapping_add(u32::from(MESSAGE_BYTES));
             }
             if let Some((flow, number)) = self.waiting.pop_front() {
-                self.running
-                    .push((now + self.options.service_time, flow, number));
+                self.start_request(now, flow, number);
             }
         }
         responses
@@ -261,12 +268,28 @@
         (syn_ack, Vec::new())
     }
 
+    fn start_request(&mut self, now: Time, flow: FlowId, number: u64) {
+        let HostOptions {
+            service_time: Span(mean_us),
+            service_time_spread: spread,
+            ..
+        } = self.options;
+        let deviation = if spread > 0.0 {
+            self.random.random_range(-spread..=spread)
+        } else {
+            0.0
+        };
+        // The deviation is larger than -1, and service times are far below 2^52 microseconds.
+        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let service_time = Span((mean_us as f64 * (1.0 + deviation)) as u64);
+        self.running.push((now + service_time, flow, number));
+    }
+
     fn accept_request(&mut self, now: Time, flow: FlowId, number: u64) {
         if self.failure_ratio > 0.0 && self.random.random_bool(self.failure_ratio) {
             self.running.push((now, flow, number | FAILURE_FLAG));
         } else if self.running.len() < self.options.slots {
-            self.running
-                .push((now + self.options.service_time, flow, number));
+            self.start_request(now, flow, number);
         } else if self.waiting.len() < self.options.queue_capacity {
             self.waiting.push_back((flow, number));
         } else {
--- a/crates/standins/src/passthrough/mod.rs
+++ b/crates/standins/src/passthrough/mod.rs
@@ -14,5 +14,5 @@
     host::{HostModel, HostOptions, ServerEvent},
     names::{domain_name, route, service_name},
     oracle::{FlowCounters, Oracle, Violation},
-    simulation::{Load, Simulation, SimulationOptions},
+    simulation::{Load, RequestRecord, Simulation, SimulationOptions},
 };
--- a/crates/standins/src/passthrough/simulation/events.rs
+++ b/crates/standins/src/passthrough/simulation/events.rs
@@ -4,7 +4,7 @@
     super::{
         Caller, CallerOptions, CallerOutcome, Event, PROBE_INTERVAL, RECOVERY_BOUND,
         REPORT_INTERVAL, ServerEvent, Simulation, TICK_INTERVAL, TestPacketFormat, server_address,
-        service_name, service_route,
+        service_name,
     },
     cardamomloom_coordination::passthrough::{
         OutgoingMessage, StoreAccess, agent::Action, balancer::ForwardingDecision, flow_hash,
@@ -54,6 +54,11 @@
                 else {
                     return;
                 };
+                // Each packet schedules a timer; without this check each timer would schedule another
+                // one for as long as the backend server is busy.
+                if server.model.next_timer().is_none_or(|next| next > self.now) {
+                    return;
+                }
                 let responses = server.model.on_timer(self.now);
                 self.relay_server_packets(agent, responses);
             }
@@ -69,7 +74,10 @@
                     self.schedule(REPORT_INTERVAL, Event::Report(agent, generation));
                 }
             }
-            Event::OpenFlow(service, options) => self.open(service_route(service), options),
+            Event::OpenFlow(address, options) => self.open(address, options),
+            Event::Retry(flow, first_opened, options) => {
+                self.open_again(flow, first_opened, options);
+            }
             Event::Probe => {
                 for process in self.balancers.values_mut() {
                     process.is_in_rotation = process.is_up && process.core.is_ready(self.now);
@@ -81,6 +89,11 @@
 
     /// Opens a flow from a new caller to an address.
     pub(super) fn open(&mut self, address: SocketAddrV4, options: CallerOptions) {
+        self.open_flow(address, options);
+    }
+
+    /// Opens a flow and returns its identifier.
+    pub(super) fn open_flow(&mut self, address: SocketAddrV4, options: CallerOptions) -> FlowId {
         self.next_caller += 1;
         let number = self.next_caller;
         let [_, b, c, d] = number.to_be_bytes();
@@ -95,6 +108,7 @@
         self.oracle.counters.opened += 1;
         self.send_from_caller(vec![(syn, Vec::new())]);
         self.schedule_at(next_timer, Event::CallerTimer(flow));
+        flow
     }
 
     fn on_packet_at_balancer(&mut self, balancer: Ipv4Addr, packet: Vec<u8>) {
@@ -109,7 +123,8 @@
             return;
         };
         match process.core.on_packet(self.now, &segment) {
-            ForwardingDecision::Forward { to, header } => {
+            ForwardingDecision::Forward { to, mut header } => {
+                header.service_wait = self.service_wait(segment.destination);
                 self.send(Event::ToAgent(to, header, packet));
             }
             ForwardingDecision::ForwardCopies(copies) => {
@@ -204,6 +219,7 @@
         {
             self.oracle
                 .on_outcome(self.now, flow, outcome, caller.max_response_time);
+            self.on_flow_ended(flow, &caller);
             self.check_reachable(flow, outcome);
         }
     }
@@ -299,7 +315,14 @@
         let mut actions = Vec::new();
         let next_timer = process.core.on_syn_timer(self.now, &mut actions);
         self.execute(agent, actions, &[]);
-        if let Some(next_timer) = next_timer {
+        // A timer for the same deadline is scheduled already if the deadline has not changed.
+        let scheduled = self
+            .agents
+            .get_mut(&agent)
+            .map(|process| std::mem::replace(&mut process.syn_timer, next_timer));
+        if let Some(next_timer) = next_timer
+            && scheduled != Some(Some(next_timer))
+        {
             self.schedule_at(next_timer, Event::SynTimer(agent, generation));
         }
     }
@@ -328,6 +351,10 @@
                     let reset = Segment::reset(&flow, sequence);
                     self.send(Event::ToCaller(TestPacketFormat.encode(&reset, &[])));
                 }
+                Action::Reject { flow, .. } => {
+                    let reset = Segment::reset(&flow, 0);
+                    self.send(Event::ToCaller(TestPacketFormat.encode(&reset, &[])));
+                }
                 Action::Drop(_) => {}
             }
         }
--- a/crates/standins/src/passthrough/simulation/faults.rs
+++ b/crates/standins/src/passthrough/simulation/faults.rs
@@ -16,6 +16,13 @@
 };
 
 impl Simulation {
+    /// Sets the mean processing time of a request at the backend server beside an agent.
+    pub fn set_service_time(&mut self, agent: Ipv4Addr, service_time: Span) {
+        if let Some(server) = self.servers.get_mut(&agent) {
+            server.model.set_service_time(service_time);
+        }
+    }
+
     /// Starts to drain the backend server beside an agent, which reports it at once.
     pub fn drain_server(&mut self, agent: Ipv4Addr) {
         if let Some(server) = self.servers.get_mut(&agent) {
@@ -82,6 +89,7 @@
         }
         let process = AgentProcess {
             core,
+            syn_timer: None,
             generation,
             is_up: true,
         };
--- a/crates/standins/src/passthrough/simulation/layout.rs
+++ b/crates/standins/src/passthrough/simulation/layout.rs
@@ -2,7 +2,10 @@
 
 use {
     super::{SimulationOptions, route, service_name},
-    cardamomloom_protocol::passthrough::{CatalogueDocument, CatalogueVersion, ServiceEntry},
+    cardamomloom_core::Span,
+    cardamomloom_protocol::passthrough::{
+        CatalogueDocument, CatalogueVersion, RouteEntry, ServiceEntry,
+    },
     std::net::{Ipv4Addr, SocketAddrV4},
 };
 
@@ -22,12 +25,38 @@
     SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, service + 1), 443)
 }
 
-/// Returns the catalogue at the start: one route and one service entry for each service.
+/// Returns the address of the urgent route of a service.
+pub(super) const fn urgent_route(service: u8) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, service + 1), 444)
+}
+
+/// Returns the routes of a service: one of priority 1, and one of priority 0 with the same latency goal
+/// if there are latency goals.
+fn service_routes(options: &SimulationOptions, service: u8) -> Vec<RouteEntry> {
+    let normal = RouteEntry {
+        latency_goal_ms: options.latency_goal.as_millis(),
+        timeout_ms: options.timeout.as_millis(),
+        ..route(service_route(service), service)
+    };
+    if options.latency_goal == Span::ZERO {
+        return vec![normal];
+    }
+    let address = urgent_route(service);
+    let urgent = RouteEntry {
+        name: address.to_string().into(),
+        address,
+        priority: 0,
+        ..normal.clone()
+    };
+    vec![normal, urgent]
+}
+
+/// Returns the catalogue at the start: the routes and one service entry for each service.
 pub(super) fn initial_catalogue(options: &SimulationOptions) -> CatalogueDocument {
     CatalogueDocument {
         version: CatalogueVersion(1),
         routes: (0..options.services)
-            .map(|service| route(service_route(service), service))
+            .flat_map(|service| service_routes(options, service))
             .collect(),
         services: (0..options.services)
             .map(|service| ServiceEntry {
--- a/crates/standins/src/passthrough/simulation/mod.rs
+++ b/crates/standins/src/passthrough/simulation/mod.rs
@@ -6,7 +6,9 @@
 mod faults;
 mod layout;
 mod links;
+mod requests;
 
+pub use requests::RequestRecord;
 use {
     super::{
         Caller, CallerOptions, CallerOutcome, FlowCounters, HostModel, HostOptions, Oracle,
@@ -20,11 +22,11 @@
     cardamomloom_core::{DomainName, Span, Time},
     cardamomloom_protocol::passthrough::{
         CatalogueDocument, DomainStatus, FlowId, HostReportState, PeerMessage, RelayHeader,
-        RouteTarget, StoreEra, StoreRevision,
+        RouteTarget, ServiceWait, StoreEra, StoreRevision,
     },
     layout::{agent_address, balancer_address, initial_catalogue, server_address, service_route},
     links::Links,
-    rand::{RngExt, SeedableRng},
+    rand::SeedableRng,
     rand_chacha::ChaCha8Rng,
     std::{
         cmp::Reverse,
@@ -61,6 +63,12 @@
     pub seed: u64,
     /// Options of every agent.
     pub agent: AgentOptions,
+    /// Latency goal of all routes; with one, each service also has an urgent route. Zero for none.
+    pub latency_goal: Span,
+    /// Timeout of all routes; zero for none.
+    pub timeout: Span,
+    /// Whether balancers state the least expected wait of the service, at most 250 ms old.
+    pub states_service_wait: bool,
 }
 
 impl Default for SimulationOptions {
@@ -78,6 +86,9 @@
             link_bytes_per_s: 0,
             seed: 1,
             agent: AgentOptions::default(),
+            latency_goal: Span::ZERO,
+            timeout: Span::ZERO,
+            states_service_wait: false,
         }
     }
 }
@@ -117,7 +128,9 @@
     SynTimer(Ipv4Addr, u64),
     Tick(Ipv4Addr, u64),
     Report(Ipv4Addr, u64),
-    OpenFlow(u8, CallerOptions),
+    OpenFlow(SocketAddrV4, CallerOptions),
+    /// Opens a further flow for the requests of one that ended.
+    Retry(FlowId, Time, CallerOptions),
     Probe,
 }
 
@@ -135,6 +148,8 @@
 
 struct AgentProcess {
     core: Agent,
+    /// Time for which a SYN timer is scheduled.
+    syn_timer: Option<Time>,
     generation: u64,
     is_up: bool,
 }
@@ -164,6 +179,8 @@
     agents: BTreeMap<Ipv4Addr, AgentProcess>,
     servers: BTreeMap<Ipv4Addr, Server>,
     callers: HashMap<FlowId, Caller>,
+    requests: requests::RequestLog,
+    service_waits: BTreeMap<u8, (Time, ServiceWait)>,
     catalogue: CatalogueDocument,
     domain_status: DomainStatus,
     is_store_up: bool,
@@ -211,6 +228,8 @@
             agents: BTreeMap::new(),
             servers: BTreeMap::new(),
             callers: HashMap::new(),
+            requests: requests::RequestLog::default(),
+            service_waits: BTreeMap::new(),
             catalogue: initial_catalogue(&options),
             domain_status: DomainStatus {
                 era: Some(StoreEra(1)),
@@ -339,15 +358,6 @@
         self.now = end;
     }
 
-    /// Schedules the new flows of a load at random times from now on.
-    pub fn schedule_load(&mut self, load: Load) {
-        let count = load.duration.0 * u64::from(load.flows_per_s) / 1_000_000;
-        for _ in 0..count {
-            let delay = Span(self.random.random_range(0..load.duration.0));
-            self.schedule(delay, Event::OpenFlow(load.service, load.caller));
-        }
-    }
-
     /// Adds or removes the route to the first service that a number identifies; no effect while the
     /// store is down.
     pub fn set_route_present(&mut self, number: u8, is_present: bool) {
