Order new flows by priority and latency goal, and reject those that no host can answer

Under demand above the capacity hosts were full of requests that they answered late, and nobody was told that there was no room. With load_control.rejects_late_flows, for routes with a latency goal and once the work time is known, agents admit flows that can be answered in goal, keep the host's own queue short, queue by priority, class and first SYN with a share of 1 in 10 for each route, and reset first SYNs that no host of the service can answer. A delivered SYN that is relayed has service_wait unknown.

--- a/crates/coordination/src/passthrough/agent/admission.rs
+++ b/crates/coordination/src/passthrough/agent/admission.rs
@@ -2,7 +2,10 @@
 //! another host.
 
 use {
-    super::{Action, Agent, DropReason, LocalFlow, Phase, QueuedSyn, has_visited, previous_hops},
+    super::{
+        Action, Agent, DropReason, GoalPosition, LocalFlow, Phase, QueuedSyn, SynClass,
+        flow_order::Arrival, has_visited, previous_hops,
+    },
     crate::passthrough::{flow_hash, rendezvous_score},
     cardamomloom_core::Time,
     cardamomloom_protocol::passthrough::{
@@ -13,9 +16,90 @@
 
 /// Overload score of a host whose backend server fails requests. It is the highest score that a
 /// relay header records, so that any other host is preferred.
-const FAILING_OVERLOAD_SCORE: u8 = u8::MAX - 1;
+pub(super) const FAILING_OVERLOAD_SCORE: u8 = u8::MAX - 1;
 
 impl Agent {
+    /// Appends the actions for the SYN of a flow, or queues it until the host has room.
+    pub(super) fn on_syn(
+        &mut self,
+        now: Time,
+        header: &RelayHeader,
+        segment: &Segment,
+        packet: &[u8],
+        actions: &mut Vec<Action>,
+    ) {
+        let flow = segment.flow_from_caller();
+        // A balancer with a newer catalogue than this agent is trusted about routes.
+        let knows_routes =
+            self.catalogue.document().is_some() && self.catalogue.version() >= header.catalogue;
+        // The caller retransmits the SYN of a flow that the host has accepted.
+        let is_opening = self.flows.get(&flow).is_some_and(LocalFlow::is_opening);
+        if knows_routes
+            && !is_opening
+            && !self
+                .catalogue
+                .is_routed_to(flow.service, &self.identity.service)
+        {
+            actions.push(Action::Drop(DropReason::NoRoute));
+            return;
+        }
+        if self.flows.get(&flow).is_some_and(LocalFlow::is_active) {
+            actions.push(Action::Deliver);
+            return;
+        }
+        if knows_routes && self.catalogue.is_outdated(now) {
+            actions.push(Action::Drop(DropReason::OutdatedCatalogue));
+            return;
+        }
+        if !self.accepts_flows(now) {
+            self.relay_to_next(header, &flow, actions);
+            return;
+        }
+        if !self.is_within_cold_rate(now) {
+            if let Some(relay) = self.relay_overloaded(header, &flow, None) {
+                actions.push(relay);
+            } else {
+                self.queue_syn(now, flow, header, segment, packet);
+            }
+            return;
+        }
+        // A backend server that fails requests gets only the few flows that test whether it has
+        // recovered, and those that no other host takes.
+        let is_failing = !self.outcomes.admit_next(now);
+        let may_relay = header.kind != RelayKind::Assign;
+        if is_failing
+            && may_relay
+            && let Some(relay) = self.relay_overloaded(header, &flow, Some(FAILING_OVERLOAD_SCORE))
+        {
+            actions.push(relay);
+            return;
+        }
+        let may_relay = may_relay && !is_failing;
+        if let Some(new_flow) = self.new_flow(&flow, header, segment.acknowledgment) {
+            let arrival = Arrival {
+                header,
+                segment,
+                packet,
+                may_relay,
+            };
+            self.order_flow(now, &new_flow, arrival, actions);
+            return;
+        }
+        if let Some(overload_score) = self.queue_excess()
+            && may_relay
+            && let Some(relay) = self.relay_overloaded(header, &flow, Some(overload_score))
+        {
+            actions.push(relay);
+            return;
+        }
+        if !self.has_waiting_capacity() {
+            self.queue_syn(now, flow, header, segment, packet);
+            return;
+        }
+        self.accept_flow(now, flow, header, packet);
+        actions.push(Action::Deliver);
+    }
+
     /// Accepts a new flow, for which the host must have capacity.
     pub(super) fn accept_flow(
         &mut self,
@@ -53,41 +137,60 @@
         segment: &Segment,
         packet: &[u8],
     ) {
-        self.syn_queue.push(
-            now,
-            QueuedSyn {
-                flow,
-                priority: self.catalogue.priority(flow.service),
-                retransmissions: segment.acknowledgment,
-                header: *header,
-                packet: packet.into(),
-            },
-        );
+        let goal = self
+            .new_flow(&flow, header, segment.acknowledgment)
+            .map(|new_flow| self.goal_position(now, &new_flow, false));
+        self.queue_syn_with_goal(now, flow, header, segment, packet, goal);
+    }
+
+    /// Queues the SYN of a flow at its position among those of routes with a latency goal.
+    pub(super) fn queue_syn_with_goal(
+        &mut self,
+        now: Time,
+        flow: FlowId,
+        header: &RelayHeader,
+        segment: &Segment,
+        packet: &[u8],
+        goal: Option<GoalPosition>,
+    ) {
+        let syn = QueuedSyn {
+            flow,
+            priority: self.catalogue.priority(flow.service),
+            retransmissions: segment.acknowledgment,
+            header: *header,
+            packet: packet.into(),
+        };
+        self.syn_queue.push_with_goal(now, syn, goal);
     }
 
-    /// Delivers queued SYNs to the backend server while it has capacity. Besides the packets of the
-    /// backend server, a new catalogue and the passing of time can give it capacity.
+    /// Delivers queued SYNs to the backend server while it has capacity, and resets those that no host
+    /// can answer any more. Besides the packets of the backend server, a new catalogue and the passing
+    /// of time can give it capacity.
     pub fn deliver_queued_syns(&mut self, now: Time, actions: &mut Vec<Action>) {
         while !self.syn_queue.is_empty()
-            && self.has_waiting_capacity()
             && self.accepts_flows(now)
             && self.is_within_cold_rate(now)
+            && let Some((syn, class)) = self.syn_queue.pop_for(now, self.queue_room(now))
         {
-            let Some(syn) = self.syn_queue.pop(now) else {
-                return;
-            };
             let is_active = self.flows.get(&syn.flow).is_some_and(LocalFlow::is_active);
             if !is_active {
                 self.accept_flow(now, syn.flow, &syn.header, &syn.packet);
+                self.count_demand(now, class == SynClass::Late);
             }
             actions.push(Action::DeliverBuffered(syn.packet));
         }
+        self.reject_discarded(now, actions);
     }
 
     /// Returns whether one more caller may wait for the backend server.
     pub(super) fn has_waiting_capacity(&self) -> bool {
+        self.flows.waiting() < self.max_waiting()
+    }
+
+    /// Returns the maximum number of callers that may wait for the backend server.
+    pub(super) fn max_waiting(&self) -> usize {
         let slots = self.host.as_ref().map_or(0, |host| host.slots as usize);
-        self.flows.waiting() < slots * self.options.max_waiting_per_slot
+        slots * self.options.max_waiting_per_slot
     }
 
     /// Returns whether the host accepts new flows at all: it is ready and not suspected, the agent
@@ -143,17 +246,6 @@
         self.flows.waiting() > slots
     }
 
-    /// Returns the overload score of the host for a new flow, or `None` when a slot is free. The
-    /// score is the queue excess, or [`FAILING_OVERLOAD_SCORE`] when the backend server fails
-    /// requests and this flow is not one of the few that test whether it has recovered.
-    pub(super) fn overload_score(&mut self, now: Time) -> Option<u8> {
-        if self.outcomes.admit_next(now) {
-            self.queue_excess()
-        } else {
-            Some(FAILING_OVERLOAD_SCORE)
-        }
-    }
-
     /// Returns the action that relays the SYN of a flow because the host is overloaded, or `None`
     /// when this host is to accept the flow. The SYN visits a few hosts in pseudorandom order, each
     /// of which knows its present load; when all of them are busy, the least loaded one accepts the
--- a/crates/coordination/src/passthrough/agent/mod.rs
+++ b/crates/coordination/src/passthrough/agent/mod.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod control;
 mod copies;
+mod flow_order;
 mod flow_upkeep;
 mod flows;
 mod host;
@@ -16,18 +17,22 @@
 mod syn_queue;
 
 pub use {
+    flow_order::FlowRejection,
     host::ReportOutcome,
     options::AgentOptions,
     outcomes::{Outcome, OutcomeOptions, OutcomeTracker},
-    syn_queue::{QueuedSyn, SynQueue},
+    syn_queue::{GoalPosition, QueueRoom, QueuedSyn, SynClass, SynQueue},
 };
 
 use {
-    super::{CatalogueOptions, CatalogueView, FlowCache, PeerDirectory, load::WorkTimeEstimator},
+    super::{
+        CatalogueOptions, CatalogueView, FlowCache, PeerDirectory,
+        load::{HandshakeEstimator, SlotDemand, WorkTimeEstimator},
+    },
     cardamomloom_core::{DomainName, ServiceName, Span, Time},
     cardamomloom_protocol::passthrough::{
-        FlowAbsence, FlowId, HostAdvertisement, HostReportState, RelayHeader, RelayKind, RunId,
-        Segment, ServiceTag,
+        FlowAbsence, FlowId, HostAdvertisement, HostReportState, RelayHeader, RunId, Segment,
+        ServiceTag, ServiceWait,
     },
     flows::{FlowTable, LocalFlow, Phase},
     host::{ColdStartBucket, Host},
@@ -136,6 +141,13 @@
         /// Next sequence number that the caller expects.
         sequence: u32,
     },
+    /// Sends a reset to the caller of a flow that no host has received.
+    Reject {
+        /// The flow.
+        flow: FlowId,
+        /// Reason and inputs of the decision.
+        rejection: Box<FlowRejection>,
+    },
     /// Drops the packet without an answer.
     Drop(DropReason),
 }
@@ -173,6 +185,8 @@
     outcomes: OutcomeTracker,
     /// Work time of the backend server per request.
     work_times: WorkTimeEstimator,
+    handshakes: HandshakeEstimator,
+    slot_demand: SlotDemand,
     /// Agents that own flows of other hosts.
     owner_cache: FlowCache<Ipv4Addr>,
     lookups: OwnerLookups,
@@ -217,6 +231,8 @@
             syn_queue: SynQueue::new(options.syn_queue_capacity),
             outcomes: OutcomeTracker::new(options.outcomes),
             work_times: WorkTimeEstimator::new(0),
+            handshakes: HandshakeEstimator::default(),
+            slot_demand: SlotDemand::default(),
             owner_cache: FlowCache::new(options.owner_cache_capacity, options.owner_cache_ttl),
             lookups: OwnerLookups::default(),
             service_hosts: Vec::new(),
@@ -317,6 +333,12 @@
         self.syn_queue.len()
     }
 
+    /// Returns the number of queued SYNs of a class.
+    #[must_use]
+    pub fn queued_syns_of(&self, now: Time, class: SynClass) -> usize {
+        self.syn_queue.len_of(now, class)
+    }
+
     /// Drains the response times since the last call: the times that callers waited for the first
     /// data of a response.
     pub fn take_response_times(&mut self) -> std::vec::Drain<'_, Span> {
@@ -352,7 +374,7 @@
                     is_relayed,
                 } => {
                     let is_first = !std::mem::replace(is_relayed, true);
-                    is_first.then(|| (packet.clone(), *header))
+                    is_first.then(|| (packet.clone(), delivered_header(header)))
                 }
                 _ => None,
             });
@@ -365,65 +387,6 @@
         None
     }
 
-    /// Appends the actions for the SYN of a flow, or queues it until the host has room.
-    fn on_syn(
-        &mut self,
-        now: Time,
-        header: &RelayHeader,
-        segment: &Segment,
-        packet: &[u8],
-        actions: &mut Vec<Action>,
-    ) {
-        let flow = segment.flow_from_caller();
-        // A balancer with a newer catalogue than this agent is trusted about routes.
-        let knows_routes =
-            self.catalogue.document().is_some() && self.catalogue.version() >= header.catalogue;
-        // The caller retransmits the SYN of a flow that the host has accepted.
-        let is_opening = self.flows.get(&flow).is_some_and(LocalFlow::is_opening);
-        if knows_routes
-            && !is_opening
-            && !self
-                .catalogue
-                .is_routed_to(flow.service, &self.identity.service)
-        {
-            actions.push(Action::Drop(DropReason::NoRoute));
-            return;
-        }
-        if self.flows.get(&flow).is_some_and(LocalFlow::is_active) {
-            actions.push(Action::Deliver);
-            return;
-        }
-        if knows_routes && self.catalogue.is_outdated(now) {
-            actions.push(Action::Drop(DropReason::OutdatedCatalogue));
-            return;
-        }
-        if !self.accepts_flows(now) {
-            self.relay_to_next(header, &flow, actions);
-            return;
-        }
-        if !self.is_within_cold_rate(now) {
-            if let Some(relay) = self.relay_overloaded(header, &flow, None) {
-                actions.push(relay);
-            } else {
-                self.queue_syn(now, flow, header, segment, packet);
-            }
-            return;
-        }
-        if let Some(overload_score) = self.overload_score(now)
-            && header.kind != RelayKind::Assign
-            && let Some(relay) = self.relay_overloaded(header, &flow, Some(overload_score))
-        {
-            actions.push(relay);
-            return;
-        }
-        if !self.has_waiting_capacity() {
-            self.queue_syn(now, flow, header, segment, packet);
-            return;
-        }
-        self.accept_flow(now, flow, header, packet);
-        actions.push(Action::Deliver);
-    }
-
     /// Informs the agent that looks up a flow when the backend server rejected the packet that was
     /// delivered to find out whether it holds the flow.
     fn report_failed_probe(
@@ -458,7 +421,9 @@
         if segment.is_syn_without_ack() {
             match entry.phase {
                 Phase::SynDelivered { header, .. } => {
-                    if let Some((to, header)) = self.next_candidate(&header, &flow) {
+                    if let Some((to, header)) =
+                        self.next_candidate(&delivered_header(&header), &flow)
+                    {
                         actions.push(Action::RelayBuffered {
                             to,
                             header,
@@ -490,6 +455,14 @@
     header.visited().contains(&agent)
 }
 
+/// Returns the header with which a SYN that was delivered to the host is relayed to another one. Its
+/// flow may be open, so that nobody may reject it.
+const fn delivered_header(header: &RelayHeader) -> RelayHeader {
+    let mut header = *header;
+    header.service_wait = ServiceWait::UNKNOWN;
+    header
+}
+
 /// Closes a flow that `segment` resets, or that both ends have finished.
 fn close_if_finished(entry: &mut LocalFlow, segment: &Segment) {
     if segment.flags.is_rst || (entry.has_caller_fin && entry.has_server_fin) {
--- a/crates/coordination/src/passthrough/agent/segments.rs
+++ b/crates/coordination/src/passthrough/agent/segments.rs
@@ -38,12 +38,16 @@
                     self.outcomes.record(now, Outcome::Failed);
                 }
                 if segment.payload_bytes > 0 {
-                    let is_first_request = entry.syn_delivered_at.take().is_some();
+                    let syn_delivered_at = entry.syn_delivered_at.take();
+                    if let Some(at) = syn_delivered_at {
+                        self.handshakes.record(now.since(at));
+                    }
                     let is_further_request = !std::mem::replace(&mut entry.is_waiting, true);
                     if is_further_request {
                         entry.waiting_since = now;
+                        self.slot_demand.on_request(now);
                     }
-                    if is_first_request || is_further_request {
+                    if syn_delivered_at.is_some() || is_further_request {
                         self.work_times.on_request(now, flow);
                     }
                 }
--- a/crates/coordination/src/passthrough/catalogue/mod.rs
+++ b/crates/coordination/src/passthrough/catalogue/mod.rs
@@ -395,7 +395,9 @@
         }
     }
 
-    fn route(&self, address: SocketAddrV4) -> Option<&RouteEntry> {
+    /// Returns the route of an address.
+    #[must_use]
+    pub fn route(&self, address: SocketAddrV4) -> Option<&RouteEntry> {
         let index = *self.routes.get(&address)?;
         self.document.as_ref()?.routes.get(index)
     }
--- a/crates/daemon/src/passthrough/agent.rs
+++ b/crates/daemon/src/passthrough/agent.rs
@@ -6,7 +6,7 @@
         Result,
         log_limit::LogRateLimiter,
         node::{Event, NodeRuntime, TICK, run_loop},
-        registry,
+        registry, rejections,
         server_check::is_server_absent,
         sockets::{Outbox, PacketSocket},
     },
@@ -361,6 +361,7 @@
         NodeRuntime::publish_catalogue_lag(self.agent.behind_for(now));
         metrics::gauge!("cardamomloom_open_flows").set(open_flows as f64);
         metrics::gauge!("cardamomloom_held_openings").set(self.agent.queued_syns() as f64);
+        rejections::publish_queue(&self.agent, now);
         let outcomes = self.agent.outcomes();
         let (answered, failed) = outcomes.totals();
         metrics::counter!("cardamomloom_outcomes_total", "outcome" => "answered")
@@ -405,6 +406,12 @@
                     let reset = self.format.encode(&Segment::reset(&flow, sequence), &[]);
                     self.to_network.push(to, &reset, &[]);
                 }
+                Action::Reject { flow, rejection } => {
+                    rejections::count(&rejection);
+                    let to = SocketAddrV4::new(*flow.caller.ip(), self.data_port);
+                    let reset = self.format.encode(&Segment::reset(&flow, 0), &[]);
+                    self.to_network.push(to, &reset, &[]);
+                }
                 Action::Drop(reason) => count_drop(DropReason::label(reason)),
             }
         }
@@ -454,6 +461,7 @@
                 event = "flow_reset", flow:%, sequence;
                 "reset sent to the caller: no backend server has the flow any more"
             ),
+            Action::Reject { flow, rejection } => rejections::log(flow, rejection),
             Action::Drop(reason) => info!(
                 event = "packet_dropped", flow, opens, cause = reason.label();
                 "packet dropped"
--- a/crates/daemon/src/passthrough/mod.rs
+++ b/crates/daemon/src/passthrough/mod.rs
@@ -10,6 +10,7 @@
 pub mod node;
 pub mod peer_client;
 mod registry;
+mod rejections;
 mod server_check;
 mod sockets;
 mod store_reader;
