Name the latency goal of a route in the words of the product

scripts/check-platform-names failed: the field of the platform's configuration stood in crates/. Only the adapter names it now.

Measured: scripts/check-platform-names and clippy of the workspace pass.

--- a/crates/coordination/src/passthrough/agent/flow_order.rs
+++ b/crates/coordination/src/passthrough/agent/flow_order.rs
@@ -57,11 +57,11 @@
         let route = self
             .catalogue
             .route(flow.service)
-            .filter(|route| is_enabled && route.latency_goal_ms > 0)?;
+            .filter(|route| is_enabled && route.response_goal_ms > 0)?;
         self.host_times()?;
         Some(NewFlow {
             age: syn_age(retransmissions),
-            goal: Span::from_millis(route.latency_goal_ms),
+            goal: Span::from_millis(route.response_goal_ms),
             timeout: (route.timeout_ms > 0).then(|| Span::from_millis(route.timeout_ms)),
             is_undelivered: retransmissions == 0 && self.flows.get(flow).is_none(),
             service_wait: header.service_wait,
--- a/crates/coordination/src/passthrough/catalogue/copies.rs
+++ b/crates/coordination/src/passthrough/catalogue/copies.rs
@@ -101,7 +101,7 @@
         if self.document.is_some() && document.version <= self.version() {
             return None;
         }
-        let has_times = |route: &RouteEntry| route.latency_goal_ms > 0 || route.timeout_ms > 0;
+        let has_times = |route: &RouteEntry| route.response_goal_ms > 0 || route.timeout_ms > 0;
         if !document.routes.iter().any(has_times) {
             self.without_times = document.version;
         }
--- a/crates/coordination/tests/passthrough_cold_start.rs
+++ b/crates/coordination/tests/passthrough_cold_start.rs
@@ -57,7 +57,7 @@
             }],
             is_idempotent: true,
             priority: 1,
-            latency_goal_ms: 0,
+            response_goal_ms: 0,
             timeout_ms: 0,
         }],
         services: vec![ServiceEntry {
--- a/crates/coordination/tests/passthrough_copies.rs
+++ b/crates/coordination/tests/passthrough_copies.rs
@@ -36,7 +36,7 @@
             }],
             is_idempotent: true,
             priority: 1,
-            latency_goal_ms: 0,
+            response_goal_ms: 0,
             timeout_ms: 0,
         }
     };
--- a/crates/coordination/tests/passthrough_copy_formats.rs
+++ b/crates/coordination/tests/passthrough_copy_formats.rs
@@ -22,7 +22,7 @@
 }
 
 /// Returns a catalogue whose first route depends on the version.
-fn catalogue(version: u64, latency_goal_ms: u64) -> CatalogueDocument {
+fn catalogue(version: u64, response_goal_ms: u64) -> CatalogueDocument {
     let route = |index: u8| RouteEntry {
         name: format!("route-{index}").into(),
         address: SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, index), 443),
@@ -36,8 +36,8 @@
         }],
         is_idempotent: true,
         priority: 1,
-        latency_goal_ms,
-        timeout_ms: 10 * latency_goal_ms,
+        response_goal_ms,
+        timeout_ms: 10 * response_goal_ms,
     };
     CatalogueDocument {
         version: CatalogueVersion(version),
--- a/crates/coordination/tests/passthrough_explanation.rs
+++ b/crates/coordination/tests/passthrough_explanation.rs
@@ -146,7 +146,7 @@
             }],
             is_idempotent: true,
             priority: 1,
-            latency_goal_ms: 0,
+            response_goal_ms: 0,
             timeout_ms: 0,
         }],
         services: vec![ServiceEntry {
--- a/crates/coordination/tests/passthrough_idle_flows.rs
+++ b/crates/coordination/tests/passthrough_idle_flows.rs
@@ -31,7 +31,7 @@
             }],
             is_idempotent: false,
             priority: 1,
-            latency_goal_ms: 0,
+            response_goal_ms: 0,
             timeout_ms: 0,
         }],
         services: Vec::new(),
--- a/crates/coordination/tests/passthrough_lost_flows.rs
+++ b/crates/coordination/tests/passthrough_lost_flows.rs
@@ -36,7 +36,7 @@
             address: SERVICE_ADDRESS,
             targets: targets.collect(),
             priority: 1,
-            latency_goal_ms: 0,
+            response_goal_ms: 0,
             timeout_ms: 0,
             name: "route-0".into(),
             is_idempotent: true,
--- a/crates/coordination/tests/passthrough_lost_shared_flows.rs
+++ b/crates/coordination/tests/passthrough_lost_shared_flows.rs
@@ -64,7 +64,7 @@
                 targets: targets.to_vec(),
                 is_idempotent: false,
                 priority: 1,
-                latency_goal_ms: 0,
+                response_goal_ms: 0,
                 timeout_ms: 0,
             }],
             services: Vec::new(),
--- a/crates/coordination/tests/passthrough_outdated_catalogue.rs
+++ b/crates/coordination/tests/passthrough_outdated_catalogue.rs
@@ -44,7 +44,7 @@
             }],
             is_idempotent: true,
             priority: 1,
-            latency_goal_ms: 0,
+            response_goal_ms: 0,
             timeout_ms: 0,
         }],
         services: Vec::new(),
--- a/crates/coordination/tests/passthrough_placement_roles.rs
+++ b/crates/coordination/tests/passthrough_placement_roles.rs
@@ -71,7 +71,7 @@
         targets: vec![target],
         is_idempotent: true,
         priority: 1,
-        latency_goal_ms: 0,
+        response_goal_ms: 0,
         timeout_ms: 0,
     };
     let document = CatalogueDocument {
--- a/crates/coordination/tests/passthrough_restored_store.rs
+++ b/crates/coordination/tests/passthrough_restored_store.rs
@@ -52,7 +52,7 @@
                 }],
                 is_idempotent: true,
                 priority: 1,
-                latency_goal_ms: 0,
+                response_goal_ms: 0,
                 timeout_ms: 0,
             }],
             services: Vec::new(),
--- a/crates/coordination/tests/passthrough_route_changes.rs
+++ b/crates/coordination/tests/passthrough_route_changes.rs
@@ -41,7 +41,7 @@
             targets: targets.collect(),
             is_idempotent: false,
             priority: 1,
-            latency_goal_ms: 0,
+            response_goal_ms: 0,
             timeout_ms: 0,
         }],
         services: Vec::new(),
--- a/crates/coordination/tests/passthrough_snapshot.rs
+++ b/crates/coordination/tests/passthrough_snapshot.rs
@@ -78,7 +78,7 @@
                 }],
                 is_idempotent: true,
                 priority: 1,
-                latency_goal_ms: 0,
+                response_goal_ms: 0,
                 timeout_ms: 0,
             }],
             services: Vec::new(),
--- a/crates/protocol/src/passthrough/copy.rs
+++ b/crates/protocol/src/passthrough/copy.rs
@@ -318,7 +318,7 @@
         }
         if format == CopyFormat::WithoutTimes {
             for route in &mut document.routes {
-                (route.latency_goal_ms, route.timeout_ms) = (0, 0);
+                (route.response_goal_ms, route.timeout_ms) = (0, 0);
             }
         }
         Ok(document)
--- a/crates/protocol/src/passthrough/copy_format.rs
+++ b/crates/protocol/src/passthrough/copy_format.rs
@@ -148,7 +148,7 @@
             targets: route.targets,
             is_idempotent: route.is_idempotent,
             priority: route.priority,
-            latency_goal_ms: 0,
+            response_goal_ms: 0,
             timeout_ms: 0,
         }
     }
--- a/crates/protocol/src/passthrough/document.rs
+++ b/crates/protocol/src/passthrough/document.rs
@@ -102,7 +102,7 @@
     /// Time from the first SYN, or from a request on an open flow, in which a response has its full
     /// value to the caller; 0 if it is not configured.
     #[serde(default)]
-    pub latency_goal_ms: u64,
+    pub response_goal_ms: u64,
     /// Time, counted in the same way, after which the caller has given up; 0 if it is not configured.
     #[serde(default)]
     pub timeout_ms: u64,
--- a/crates/protocol/tests/catalogue_copies.rs
+++ b/crates/protocol/tests/catalogue_copies.rs
@@ -22,7 +22,7 @@
             }],
             is_idempotent: flag,
             priority: 1,
-            latency_goal_ms: 0,
+            response_goal_ms: 0,
             timeout_ms: 0,
         }
     })
@@ -132,7 +132,7 @@
                 targets: Vec::new(),
                 is_idempotent: true,
                 priority: 1,
-                latency_goal_ms: 0,
+                response_goal_ms: 0,
                 timeout_ms: 0,
             };
             1_000
--- a/crates/protocol/tests/copy_formats.rs
+++ b/crates/protocol/tests/copy_formats.rs
@@ -30,7 +30,7 @@
         }],
         is_idempotent: true,
         priority: if index == 4 { priority } else { 1 },
-        latency_goal_ms: times_ms.0,
+        response_goal_ms: times_ms.0,
         timeout_ms: times_ms.1,
     };
     CatalogueDocument {
@@ -119,7 +119,7 @@
     let routes = written["catalogue"]["routes"].as_array_mut();
     for route in routes.expect("routes") {
         let fields = route.as_object_mut().expect("route");
-        assert_eq!(fields.remove("latency_goal_ms"), Some(150.into()));
+        assert_eq!(fields.remove("response_goal_ms"), Some(150.into()));
         assert_eq!(fields.remove("timeout_ms"), Some(1_200.into()));
     }
     let known: serde_json::Value = serde_json::from_str(SNAPSHOT).expect("JSON");
--- a/crates/standins/src/passthrough/names.rs
+++ b/crates/standins/src/passthrough/names.rs
@@ -43,7 +43,7 @@
         }],
         is_idempotent: true,
         priority: 1,
-        latency_goal_ms: 0,
+        response_goal_ms: 0,
         timeout_ms: 0,
     }
 }
--- a/crates/standins/src/passthrough/simulation/layout.rs
+++ b/crates/standins/src/passthrough/simulation/layout.rs
@@ -34,7 +34,7 @@
 /// if there are latency goals.
 fn service_routes(options: &SimulationOptions, service: u8) -> Vec<RouteEntry> {
     let normal = RouteEntry {
-        latency_goal_ms: options.latency_goal.as_millis(),
+        response_goal_ms: options.latency_goal.as_millis(),
         timeout_ms: options.timeout.as_millis(),
         ..route(service_route(service), service)
     };
