--- a/crates/coordination/src/passthrough/agent/control.rs
+++ b/crates/coordination/src/passthrough/agent/control.rs
@@ -45,7 +45,7 @@
     pub has_snapshot: bool,
     /// An initialized balancer to request a snapshot from.
     pub snapshot_source: Option<Ipv4Addr>,
-    registry_retry: RegistryRetry,
+    pub registry_retry: RegistryRetry,
     stopping_since: Option<Time>,
     last_state: Option<HostState>,
     /// Whether the log last reported that the backend server fails requests.
@@ -314,23 +314,6 @@
         }
     }
 
-    /// Returns whether to list the registered balancers now. While no balancer is live, the agent does
-    /// so with growing intervals, since balancers may have started at addresses that it does not know.
-    pub fn should_list_balancers(&mut self, now: Time) -> bool {
-        let has_balancer = self.peers.live(now).next().is_some();
-        let address = self.identity.address;
-        self.control
-            .registry_retry
-            .is_due(now, has_balancer, address)
-    }
-
-    /// Adds addresses at which balancers may run. If any is new, the next tick announces the host.
-    pub fn add_balancers(&mut self, now: Time, balancers: impl IntoIterator<Item = Ipv4Addr>) {
-        if self.peers.add_all(now, balancers) {
-            self.control.next_announcement = Time::ZERO;
-        }
-    }
-
     /// Returns the numbers of active flows, of known hosts of the service and of known balancers.
     #[must_use]
     pub fn counts(&self) -> (usize, usize, usize) {
--- a/crates/coordination/src/passthrough/agent/registry_retry.rs
+++ b/crates/coordination/src/passthrough/agent/registry_retry.rs
@@ -4,6 +4,7 @@
 //! the store. Their calls are spread over the interval, which doubles up to a minute.
 
 use {
+    super::Agent,
     crate::passthrough::stagger,
     cardamomloom_core::{Span, Time},
     std::net::Ipv4Addr,
@@ -42,3 +43,22 @@
         true
     }
 }
+
+impl Agent {
+    /// Returns whether to list the registered balancers now. While no balancer is live, the agent does
+    /// so with growing intervals, since balancers may have started at addresses that it does not know.
+    pub fn should_list_balancers(&mut self, now: Time) -> bool {
+        let has_balancer = self.peers.live(now).next().is_some();
+        let address = self.identity.address;
+        self.control
+            .registry_retry
+            .is_due(now, has_balancer, address)
+    }
+
+    /// Adds addresses at which balancers may run. If any is new, the next tick announces the host.
+    pub fn add_balancers(&mut self, now: Time, balancers: impl IntoIterator<Item = Ipv4Addr>) {
+        if self.peers.add_all(now, balancers) {
+            self.control.next_announcement = Time::ZERO;
+        }
+    }
+}
--- a/crates/daemon/src/passthrough/agent.rs
+++ b/crates/daemon/src/passthrough/agent/mod.rs
@@ -1,6 +1,8 @@
 //! Actor of an agent with pass-through delivery: connects the agent state machine to sockets,
 //! timers, metrics and the log.
 
+mod action_log;
+
 use {
     super::{
         Result, explanation,
@@ -20,9 +22,7 @@
     cardamomloom_platform::packet::PlatformPackets,
     cardamomloom_protocol::{
         forward::DatagramKey,
-        passthrough::{
-            FlowId, FlowOwner, PacketFormat, PeerMessage, RelayHeader, RelayKind, RunId, Segment,
-        },
+        passthrough::{FlowId, FlowOwner, PacketFormat, PeerMessage, RelayHeader, RunId, Segment},
     },
     cardamomloom_transport::udp::{ReceiveBatch, SendBatch},
     log::info,
@@ -429,63 +429,6 @@
         }
     }
 
-    /// Logs a decision within the limits of its class: decisions that affect a caller, or samples
-    /// of normal forwarding. Packets returned to callers and messages about flow owners are not
-    /// logged.
-    fn log_action(&mut self, now: Time, action: &Action, packet: &[u8]) {
-        let limiter = match action {
-            Action::ReturnToCaller { .. }
-            | Action::AnnounceOwner { .. }
-            | Action::ReportAbsence { .. }
-            | Action::Send { .. } => return,
-            // An owner lookup reaches every agent of a service, and at most one owns the flow.
-            Action::Deliver | Action::DeliverBuffered(_) | Action::Drop(DropReason::NotOwner) => {
-                &mut self.sample_log
-            }
-            Action::Relay { header, .. } if header.kind != RelayKind::Search => {
-                &mut self.sample_log
-            }
-            _ => &mut self.caller_visible_log,
-        };
-        if !limiter.try_acquire(now) {
-            return;
-        }
-        let packet = match action {
-            Action::RelayBuffered { packet, .. } | Action::DeliverBuffered(packet) => packet,
-            _ => packet,
-        };
-        let segment = self.format.parse(packet);
-        let flow = segment.map(|segment| segment.flow_from_caller().to_string());
-        let opens = segment.is_some_and(|segment| segment.is_syn_without_ack());
-        match action {
-            Action::Deliver | Action::DeliverBuffered(_) => {
-                info!(
-                    event = "packet_delivered", flow, opens;
-                    "packet delivered to the backend server"
-                );
-            }
-            Action::Relay { to, header } | Action::RelayBuffered { to, header, .. } => info!(
-                event = "packet_relayed", flow, opens, kind:? = header.kind, to:%,
-                balancer:% = header.balancer, catalogue:% = header.catalogue,
-                visited = header.visited().len();
-                "packet forwarded to another agent"
-            ),
-            Action::Reset { flow, sequence } => info!(
-                event = "flow_reset", flow:%, sequence;
-                "reset sent to the caller: no backend server has the flow any more"
-            ),
-            Action::Reject { flow, rejection } => rejections::log(flow, rejection),
-            Action::Drop(reason) => info!(
-                event = "packet_dropped", flow, opens, cause = reason.label();
-                "packet dropped"
-            ),
-            Action::ReturnToCaller { .. }
-            | Action::AnnounceOwner { .. }
-            | Action::ReportAbsence { .. }
-            | Action::Send { .. } => {}
-        }
-    }
-
     fn send_reset(&mut self, flow: &FlowId, sequence: u32) {
         let to = SocketAddrV4::new(*flow.caller.ip(), self.data_port);
         let reset = self.format.encode(&Segment::reset(flow, sequence), &[]);
--- a/crates/standins/src/passthrough/simulation/events.rs
+++ b/crates/standins/src/passthrough/simulation/events.rs
@@ -469,11 +469,6 @@
         }
     }
 
-    fn send_reset(&mut self, flow: &FlowId, sequence: u32) {
-        let reset = Segment::reset(flow, sequence);
-        self.send(Event::ToCaller(TestPacketFormat.encode(&reset, &[])));
-    }
-
     /// Schedules the arrival of a packet or control message after a random delay, or loses it.
     pub(super) fn send(&mut self, event: Event) {
         let random = if event.is_list_message() {
--- a/crates/standins/src/passthrough/simulation/requests.rs
+++ b/crates/standins/src/passthrough/simulation/requests.rs
@@ -3,11 +3,11 @@
 
 use {
     super::{
-        Caller, CallerOptions, Event, Load, Simulation,
+        Caller, CallerOptions, Event, Load, Simulation, TestPacketFormat,
         layout::{service_route, urgent_route},
     },
     cardamomloom_core::{Span, Time},
-    cardamomloom_protocol::passthrough::{FlowId, ServiceWait},
+    cardamomloom_protocol::passthrough::{FlowId, PacketFormat, Segment, ServiceWait},
     rand::RngExt,
     std::{collections::HashMap, net::SocketAddrV4},
 };
@@ -39,6 +39,12 @@
 }
 
 impl Simulation {
+    /// Sends a reset of the system to the caller of a flow.
+    pub(super) fn send_reset(&mut self, flow: &FlowId, sequence: u32) {
+        let reset = Segment::reset(flow, sequence);
+        self.send(Event::ToCaller(TestPacketFormat.encode(&reset, &[])));
+    }
+
     /// Schedules the new flows of a load at random times from now on.
     pub fn schedule_load(&mut self, load: Load) {
         self.schedule_flows(service_route(load.service), load);
