--- a/crates/coordination/src/passthrough/agent/lookup.rs
+++ b/crates/coordination/src/passthrough/agent/lookup.rs
@@ -12,7 +12,7 @@
     crate::passthrough::{FlowCache, LookupOutcome, LookupOutcomes},
     cardamomloom_core::{Span, Time},
     cardamomloom_protocol::passthrough::{FlowAbsence, FlowId},
-    log::info,
+    log::{debug, info},
     std::{collections::BTreeSet, net::Ipv4Addr},
 };
 
@@ -181,7 +181,13 @@
             return LookupStep::NeedsList;
         }
         lookup.denied.insert(absence.agent);
-        if !lookup.silent_agents().is_empty() {
+        let pending = lookup.silent_agents();
+        debug!(
+            event = "flow_denied", flow:% = absence.flow, agent:% = absence.agent, pending:? = pending,
+            known_agents:% = absence.known_agents;
+            "an agent does not hold the flow that is looked up"
+        );
+        if !pending.is_empty() {
             return LookupStep::Pending;
         }
         let (answer_to, denied) = (lookup.answer_to, lookup.denied.len());
