List the alert for undecided lookups among the alerts

Cause: docs/OPERATIONS.md had the alert, the closed list in the code had not; operations_page failed. Measured: operations_page passes (2 passed).

--- a/crates/core/src/alert/mod.rs
+++ b/crates/core/src/alert/mod.rs
@@ -33,6 +33,8 @@
     HeldOpenings,
     /// A process knows of a newer catalogue and does not get it.
     CatalogueBehind,
+    /// Owner lookups of flows end without a result.
+    LookupsUndecided,
     /// A process receives datagrams with a wrong tag, or replayed datagrams.
     ControlRejected,
     /// The control thread of a process cannot keep up with incoming datagrams.
@@ -52,7 +54,7 @@
 
 impl Alert {
     /// All alerts, in the order of the operators' page.
-    pub const ALL: [Self; 16] = [
+    pub const ALL: [Self; 17] = [
         Self::StoreUnavailable,
         Self::BalancerUnreachable,
         Self::Isolated,
@@ -67,6 +69,7 @@
         Self::HostFailing,
         Self::HeldOpenings,
         Self::CatalogueBehind,
+        Self::LookupsUndecided,
         Self::ControlRejected,
         Self::ControlOverflow,
     ];
@@ -90,6 +93,7 @@
             Self::HostFailing => AlertEntry::new("host_failing", "log event `host_failing`; `cardamomloom_admitted_share` < 0.5", "Look at the backend server beside the agent: its reports are good and its answers are failures. New flows come back by themselves once it answers; drain or restart it if it does not."),
             Self::HeldOpenings => AlertEntry::new("held_openings", "`cardamomloom_held_openings` > 0 for longer than 10 s", "The hosts of the service have no free slot; add hosts."),
             Self::CatalogueBehind => AlertEntry::new("catalogue_behind", "log event `catalogue_behind`; `cardamomloom_catalogue_behind_seconds` > 1", "Look at `catalogue_copy_failed` and `store_lost` in the log of the process: it reaches neither the processes that have the newer catalogue nor the store. It opens no flows by its own catalogue; restart or replace it if it does not catch up."),
+            Self::LookupsUndecided => AlertEntry::new("lookups_undecided", "log event `lookup_undecided`; `cardamomloom_lookups_total{outcome=~\"undecided_.*\"}` rises for longer than 10 s", "Callers of lost flows wait until their deadline. `agent_silent`: look at the named agents. `lists_differ`: look at `cardamomloom_control_rejected_total` and the links between agents. `old_server`, `older_process`: agents have restarted and reach neither an older agent of their service nor an older balancer; ends after 20 s. `service_silent`: a service that may own the flows has no host that answers. `limited`: too many at once."),
             Self::ControlRejected => AlertEntry::new("control_rejected", "`cardamomloom_control_rejected_total` or `cardamomloom_control_replayed_total` rises", "Check that all processes have the same `datagram_key`; otherwise look for the foreign sender."),
             Self::ControlOverflow => AlertEntry::new("control_overflow", "`cardamomloom_control_overflow_total` rises", "The instance is short of processor time; move it or give it more."),
         }
