--- a/crates/daemon/src/passthrough/rejections.rs
+++ b/crates/daemon/src/passthrough/rejections.rs
@@ -21,11 +21,9 @@
 
 /// Counts a rejected flow.
 pub fn count(rejection: &FlowRejection) {
-    metrics::counter!(
-        "cardamomloom_rejected_flows_total",
-        "cause" => rejection.cause.label(), "route" => rejection.route.to_string()
-    )
-    .increment(1);
+    let (cause, route) = (rejection.cause.label(), rejection.route.to_string());
+    metrics::counter!("cardamomloom_rejected_flows_total", "cause" => cause, "route" => route)
+        .increment(1);
 }
 
 /// Publishes the numbers of queued SYNs by class.
